--- /dev/null
+++ b/internal/base/assert/assert.go
@@ -0,0 +1,90 @@
+// Package assert checks the system's invariants while the program runs.
+package assert
+
+import (
+	"expvar"
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rs/zerolog"
+)
+
+// Invariant names a rule that must always hold.
+type Invariant int
+
+// The invariants of the system.
+//
+//go:generate ../../../bin/stringer -type Invariant -linecomment
+const (
+	ProbeBudget    Invariant = iota // probe_budget
+	ColdCapacity                    // cold_capacity
+	CentreOut                       // centre_out
+	VersionShare                    // version_share
+	OwnAnswer                       // own_answer
+	TrueNotRun                      // true_not_run
+	AtMostOnce                      // at_most_once
+	Leaving                         // leaving
+	GracefulStop                    // graceful_stop
+	ConfigMonotone                  // config_monotone
+)
+
+// Violation describes one failed check.
+type Violation struct {
+	Invariant Invariant
+	Detail    string
+}
+
+// Hook is called for every violation.
+type Hook func(Violation)
+
+var (
+	violations = expvar.NewMap("invariant_violations")
+	hook       atomic.Pointer[Hook]
+	logger     atomic.Pointer[zerolog.Logger]
+)
+
+// That reports whether ok holds. If it does not, the violation is counted,
+// logged and handed to the hook. Without a hook, a violation inside a test
+// binary panics, so that the test fails at once.
+func That(ok bool, inv Invariant, format string, args ...any) bool {
+	if ok {
+		return true
+	}
+	fail(Violation{Invariant: inv, Detail: fmt.Sprintf(format, args...)})
+	return false
+}
+
+// SetHook replaces the hook and returns a function that restores the old one.
+func SetHook(h Hook) (restore func()) {
+	old := hook.Swap(&h)
+	return func() { hook.Store(old) }
+}
+
+// SetLogger sets the logger that violations are written to.
+func SetLogger(l zerolog.Logger) {
+	logger.Store(&l)
+}
+
+// Count returns how often inv was violated in this process.
+func Count(inv Invariant) int64 {
+	v, ok := violations.Get(inv.String()).(*expvar.Int)
+	if !ok {
+		return 0
+	}
+	return v.Value()
+}
+
+func fail(v Violation) {
+	violations.Add(v.Invariant.String(), 1)
+	if l := logger.Load(); l != nil {
+		l.Error().Str("invariant", v.Invariant.String()).Str("detail", v.Detail).Msg("invariant_violated")
+	}
+	if h := hook.Load(); h != nil {
+		(*h)(v)
+		return
+	}
+	if testing.Testing() {
+		panic("invariant " + v.Invariant.String() + " violated: " + v.Detail)
+	}
+}
--- /dev/null
+++ b/internal/core/call/call.go
@@ -0,0 +1,64 @@
+package call
+
+import "gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+
+// MaxDepth is the deepest chain of calls between services that is served.
+const MaxDepth = 21
+
+// Request describes a call without its body.
+type Request struct {
+	ID         ID
+	Service    string
+	Route      string
+	Method     string
+	Class      Class
+	Repeatable bool
+	// Retried says that a level below already spent its retries on this call.
+	Retried  bool
+	Deadline clock.Milli
+	Depth    int
+}
+
+// Target is an upstream together with its daemon.
+type Target struct {
+	// ID is the peer address of the daemon.
+	ID string
+	// Incarnation is the daemon's start time in ms; it tells a restart from
+	// a stale announcement.
+	Incarnation uint64
+	Service     string
+	Version     string
+	Centre      string
+	Region      string
+	Slots       int
+	Connections int
+	Leaving     bool
+}
+
+// View is what a guard reports of its upstream.
+type View struct {
+	Target      string
+	Incarnation uint64
+	// Epoch grows whenever the guard considers its upstream restarted.
+	Epoch      uint64
+	InProgress int
+	Queued     int
+	Limit      int
+	Slots      int
+	// Latency is the recent median service time at the upstream.
+	Latency clock.Milli
+	Cold    bool
+	Leaving bool
+	// Taken is when the view was received, on the clock of the receiver.
+	Taken clock.Milli
+}
+
+// Result is how one attempt ended, as the entry saw it.
+type Result struct {
+	Outcome Outcome
+	Reason  Reason
+	// Failed says that the upstream answered with a server error or broke off.
+	Failed  bool
+	Latency clock.Milli
+	View    *View
+}
--- /dev/null
+++ b/internal/core/call/enums.go
@@ -0,0 +1,88 @@
+package call
+
+// Class is the kind of work a call does; it decides what is shed first.
+type Class int
+
+// The classes, from the last to be shed to the first.
+//
+//go:generate ../../../bin/stringer -type Class -linecomment -output class_string.go
+const (
+	Interactive Class = iota // interactive
+	Transfer                 // transfer
+	Background               // background
+)
+
+// ParseClass reads the name of a class.
+func ParseClass(s string) (Class, bool) {
+	for c := Interactive; c <= Background; c++ {
+		if c.String() == s {
+			return c, true
+		}
+	}
+	return Interactive, false
+}
+
+// Outcome is what is known about one attempt of a call.
+type Outcome int
+
+// The outcomes.
+//
+//go:generate ../../../bin/stringer -type Outcome -linecomment -output outcome_string.go
+const (
+	// Unknown means that the upstream may have run the request. It is the
+	// zero value, so that an attempt without evidence is never repeated.
+	Unknown Outcome = iota // unknown
+	// NotRun means that no byte of the request reached the upstream.
+	NotRun // not_run
+	// Answered means that the upstream's response arrived.
+	Answered // answered
+)
+
+// Reason is the fixed word that explains a decision in logs and reports.
+type Reason int
+
+// The reasons of choices, refusals and failures.
+//
+//go:generate ../../../bin/stringer -type Reason -linecomment -output reason_string.go
+const (
+	ReasonNone           Reason = iota // none
+	ReasonLocalCool                    // local_cool
+	ReasonLocalFastest                 // local_fastest
+	ReasonLocalLeastBad                // local_least_bad
+	ReasonRemoteCheaper                // remote_cheaper
+	ReasonRemoteOnly                   // remote_only
+	ReasonCentreOut                    // centre_out
+	ReasonVersionShare                 // version_share
+	ReasonOnlyTarget                   // only_target
+	ReasonNoTarget                     // no_target
+	ReasonProbation                    // probation
+	ReasonExploration                  // exploration
+	ReasonHedge                        // hedge
+	ReasonRetry                        // retry
+	ReasonSlotsFull                    // slots_full
+	ReasonQueueTimeout                 // queue_timeout
+	ReasonQueueFull                    // queue_full
+	ReasonCold                         // cold
+	ReasonBackgroundShed               // background_shed
+	ReasonTransferShare                // transfer_share
+	ReasonDeadline                     // deadline
+	ReasonLeaving                      // leaving
+	ReasonFenced                       // fenced
+	ReasonDuplicate                    // duplicate
+	ReasonWrongService                 // wrong_service
+	ReasonDialFailed                   // dial_failed
+	ReasonLinkFailed                   // link_failed
+	ReasonLinkBroken                   // link_broken
+	ReasonUpstreamFailed               // upstream_failed
+	ReasonCancelled                    // cancelled
+	ReasonRetryBudget                  // retry_budget
+	ReasonRetriedBelow                 // retried_below
+	ReasonMayNotRepeat                 // may_not_repeat
+	ReasonTooDeep                      // too_deep
+	ReasonBadRequest                   // bad_request
+	ReasonUnknownService               // unknown_service
+	ReasonOverload                     // overload
+	ReasonEjected                      // ejected
+	ReasonVersionBraked                // version_braked
+	ReasonConnections                  // connections
+)
