path: serve a request end to end through entry and guard

One daemon beside each upstream accepts callers over HTTP, chooses a target, carries the call over a yamux link to the guard of that target and hands it to the upstream once.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 all: build
 
-build:
+build: 
 	$(GO) build -o $(BIN)/ . ./cmd/...
 
 tools: $(BIN)/gofumpt $(BIN)/golangci-lint
--- /dev/null
+++ b/internal/path/entry/entry.go
@@ -0,0 +1,189 @@
+// Package entry accepts the calls of callers over HTTP and runs them on the
+// guards of chosen targets.
+package entry
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/policy"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
+	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
+)
+
+// Roster knows the targets of each service. Version changes with the targets.
+type Roster interface {
+	Targets(service string) []call.Target
+	Version() uint64
+}
+
+// Rules decide beyond the picker which targets a request may use.
+type Rules interface {
+	// Config returns the configuration in force.
+	Config() *policy.Config
+	// Allow returns a filter for the targets of a request and the reason that
+	// it applies, or nil.
+	Allow(now clock.Milli, r *call.Request) (func(*call.Target) bool, call.Reason)
+}
+
+// Decision is one finished call, for counters and reports.
+type Decision struct {
+	At       clock.Milli
+	Request  *call.Request
+	Target   *call.Target
+	Choice   call.Reason
+	Outcome  call.Outcome
+	Reason   call.Reason
+	Status   int
+	Attempts int
+	Latency  clock.Milli
+}
+
+// Entry serves callers. It is safe for concurrent use.
+type Entry struct {
+	self     call.Target
+	clock    clock.Clock
+	log      zerolog.Logger
+	pool     *link.Pool
+	roster   Roster
+	rules    Rules
+	seed     uint64
+	record   func(Decision)
+	mu       sync.RWMutex
+	services map[string]*service
+	idMu     sync.Mutex
+	idRand   *rand.Rand
+}
+
+// Option changes an Entry.
+type Option func(*Entry)
+
+// WithLogger sets the logger.
+func WithLogger(l zerolog.Logger) Option {
+	return func(e *Entry) { e.log = l }
+}
+
+// WithRecord sets the receiver of finished calls.
+func WithRecord(f func(Decision)) Option {
+	return func(e *Entry) { e.record = f }
+}
+
+// WithSeed makes request ids and choices repeatable.
+func WithSeed(seed uint64) Option {
+	return func(e *Entry) { e.seed = seed }
+}
+
+// New returns an entry of the daemon self.
+func New(self call.Target, clk clock.Clock, pool *link.Pool, roster Roster, rules Rules, opts ...Option) *Entry {
+	e := &Entry{
+		self:     self,
+		clock:    clk,
+		log:      zerolog.Nop(),
+		pool:     pool,
+		roster:   roster,
+		rules:    rules,
+		seed:     rand.Uint64(),
+		record:   func(Decision) {},
+		services: make(map[string]*service),
+	}
+	for _, o := range opts {
+		o(e)
+	}
+	e.idRand = rand.New(rand.NewPCG(e.seed, self.Incarnation))
+	return e
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	now := e.clock.Now()
+	r, reason := e.parse(hr, now)
+	w.Header().Set(header.RequestID, r.ID.String())
+	if reason != call.ReasonNone {
+		e.reject(w, r, reason)
+		return
+	}
+	svc := e.service(r.Service)
+	if svc.empty(now, e.roster) {
+		e.reject(w, r, call.ReasonUnknownService)
+		return
+	}
+	// The caller may take its time to send the body, but not longer than the
+	// call may last; the server's own limits cover only the header.
+	rc := http.NewResponseController(w)
+	limit := time.Now().Add((r.Deadline - now).Duration())
+	_ = rc.SetReadDeadline(limit.Add(graceAfterDeadline.Duration()))
+	t := &tries{entry: e, service: svc, request: r, in: hr, out: w, began: now}
+	t.run()
+}
+
+func (e *Entry) newID() call.ID {
+	e.idMu.Lock()
+	defer e.idMu.Unlock()
+	return call.NewID(e.idRand)
+}
+
+func (e *Entry) service(name string) *service {
+	e.mu.RLock()
+	s := e.services[name]
+	e.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s = e.services[name]; s != nil {
+		return s
+	}
+	s = newService(name, rand.New(rand.NewPCG(e.seed, uint64(len(e.services))+1)))
+	// An unknown service is not kept, so that callers can't grow the map.
+	if len(e.roster.Targets(name)) > 0 {
+		e.services[name] = s
+	}
+	return s
+}
+
+// reject answers a request that was not tried.
+func (e *Entry) reject(w http.ResponseWriter, r *call.Request, reason call.Reason) {
+	status := http.StatusServiceUnavailable
+	switch reason {
+	case call.ReasonBadRequest, call.ReasonTooDeep:
+		status = http.StatusBadRequest
+	case call.ReasonUnknownService:
+		status = http.StatusNotFound
+	default:
+	}
+	e.finish(w, Decision{At: e.clock.Now(), Request: r, Outcome: call.NotRun, Reason: reason, Status: status})
+}
+
+// finish answers a call that has no response of an upstream.
+func (e *Entry) finish(w http.ResponseWriter, d Decision) {
+	h := w.Header()
+	h.Set(header.Outcome, d.Outcome.String())
+	h.Set(header.Reason, d.Reason.String())
+	if d.Outcome == call.NotRun && d.Status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", "1")
+	}
+	if d.Attempts > 1 {
+		h.Set(header.Retried, "1")
+	}
+	http.Error(w, "request "+d.Request.ID.String()+" "+d.Outcome.String()+": "+d.Reason.String(), d.Status)
+	e.note(d)
+}
+
+// note logs and records the end of a call.
+func (e *Entry) note(d Decision) {
+	ev := e.log.Info().Str("request", d.Request.ID.String()).Str("service", d.Request.Service).
+		Str("route", d.Request.Route).Str("outcome", d.Outcome.String()).Str("reason", d.Reason.String()).
+		Int("status", d.Status).Int("attempts", d.Attempts).Float64("ms", float64(d.Latency))
+	if d.Target != nil {
+		ev = ev.Str("target", d.Target.ID).Str("centre", d.Target.Centre).Str("choice", d.Choice.String())
+	}
+	ev.Msg("call_routed")
+	e.record(d)
+}
--- /dev/null
+++ b/internal/path/entry/service.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/pick"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/retry"
+)
+
+// service is the state of the entry for one service. Its lock guards the
+// decision types, which are not safe for concurrent use.
+type service struct {
+	name string
+
+	mu      sync.Mutex
+	picker  *pick.Picker
+	retry   *retry.Policy
+	loaded  bool
+	version uint64
+	count   int
+}
+
+func newService(name string, r *rand.Rand) *service {
+	return &service{name: name, picker: pick.New(r), retry: retry.New()}
+}
+
+// empty loads the targets and reports whether there is none.
+func (s *service) empty(now clock.Milli, r Roster) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load(now, r)
+	return s.count == 0
+}
+
+// load takes over the targets of the roster if they changed.
+func (s *service) load(now clock.Milli, r Roster) {
+	v := r.Version()
+	if s.loaded && v == s.version {
+		return
+	}
+	targets := r.Targets(s.name)
+	s.loaded, s.version, s.count = true, v, len(targets)
+	s.picker.Update(now, targets)
+}
+
+// choose returns a copy of the chosen target and counts the call to it.
+func (s *service) choose(now clock.Milli, q pick.Query, first bool) (call.Target, call.Reason, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if first {
+		s.retry.First(now)
+	}
+	c := s.picker.Choose(now, q)
+	if c.Target == nil {
+		return call.Target{}, c.Reason, false
+	}
+	s.picker.Started(now, c.Target.ID)
+	return *c.Target, c.Reason, true
+}
+
+// done takes in the end of an attempt.
+func (s *service) done(now clock.Milli, id string, r call.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.Finished(now, id, r)
+	if r.View != nil {
+		s.picker.Observe(now, *r.View)
+	}
+}
+
+// decide asks whether the call is tried again.
+func (s *service) decide(now clock.Milli, a retry.Attempt) retry.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retry.Decide(now, a)
+}
--- /dev/null
+++ b/internal/path/guard/exchange.go
@@ -0,0 +1,184 @@
+package guard
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/assert"
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
+	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+// exchange is one admitted call between the entry and the upstream.
+type exchange struct {
+	stream  *stream
+	start   *wire.CallStart
+	request *call.Request
+	body    *bodyReader
+	trace   trace
+	handed  clock.Milli
+	result  admit.Result
+	status  int
+}
+
+// run hands the request over and passes the response on. It reports whether
+// the stream can be used for more.
+func (x *exchange) run(ctx context.Context) bool {
+	g := x.stream.guard
+	defer func() { g.release(x.request.ID, x.result) }()
+	body, ok := x.openBody(ctx)
+	if !ok {
+		return false
+	}
+	if reason := g.handOver(x.request); reason != call.ReasonNone {
+		out := call.NotRun
+		if reason == call.ReasonDuplicate {
+			out = call.Unknown
+		}
+		return x.stream.refuse(x.start, out, reason, "")
+	}
+	x.handed = g.clock.Now()
+	req, err := g.upstream.request(ctx, &x.trace, x.start, body, x.request, x.handed)
+	if err != nil {
+		return x.stream.refuse(x.start, call.NotRun, call.ReasonBadRequest, err.Error())
+	}
+	resp, err := g.upstream.transport.RoundTrip(req)
+	if err != nil {
+		return x.fail(ctx, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	x.observe(resp)
+	ok = x.reply(resp)
+	g.sample(Sample{Request: x.request, Status: x.status, Failed: x.result.Failed, Latency: x.result.Latency})
+	return ok
+}
+
+// openBody returns the request body. A body that is not complete yet is only
+// sent by the entry after it knows that the call was admitted.
+func (x *exchange) openBody(ctx context.Context) (io.Reader, bool) {
+	if x.start.GetBodyComplete() {
+		return bytes.NewReader(x.start.GetBody()), true
+	}
+	err := x.stream.link.Send(&wire.Frame{Body: &wire.Frame_Admitted{Admitted: &wire.Admitted{Id: x.start.GetId()}}})
+	x.body = &bodyReader{ctx: ctx, stream: x.stream}
+	return x.body, err == nil
+}
+
+func (x *exchange) observe(resp *http.Response) {
+	x.status = resp.StatusCode
+	x.result.Latency = x.stream.guard.clock.Now() - x.handed
+	x.result.Failed = resp.StatusCode >= http.StatusInternalServerError
+	x.result.NewConnection = !x.trace.reused.Load()
+	if e, err := strconv.ParseUint(resp.Header.Get(header.Epoch), 10, 64); err == nil {
+		x.result.Epoch = e
+	}
+}
+
+// fail reports a request without a response.
+func (x *exchange) fail(ctx context.Context, err error) bool {
+	g := x.stream.guard
+	x.result.Failed = ctx.Err() == nil
+	x.result.Latency = g.clock.Now() - x.handed
+	out, reason := call.Unknown, call.ReasonUpstreamFailed
+	if !x.trace.reached() {
+		out, reason = call.NotRun, call.ReasonDialFailed
+	}
+	if ctx.Err() != nil {
+		reason = call.ReasonDeadline
+	}
+	if x.result.Failed {
+		g.sample(Sample{Request: x.request, Failed: true, Latency: x.result.Latency})
+	}
+	return x.stream.refuse(x.start, out, reason, err.Error()) && x.bodyDone()
+}
+
+// bodyDone reports whether no frame of the request body is outstanding.
+func (x *exchange) bodyDone() bool {
+	return x.body == nil || x.body.done
+}
+
+// reply passes the response on. A response that the upstream breaks off ends
+// with an error in ReplyEnd, so that the entry breaks its own off too.
+func (x *exchange) reply(resp *http.Response) bool {
+	g := x.stream.guard
+	head := &wire.ReplyHead{
+		Id:            x.start.GetId(),
+		Status:        uint32(resp.StatusCode),
+		Headers:       header.Encode(resp.Header),
+		ContentLength: resp.ContentLength,
+	}
+	end := &wire.ReplyEnd{Id: x.start.GetId()}
+	if err := x.send(head, end, resp); err != nil {
+		x.result.Failed = true
+		return false
+	}
+	assert.That(bytes.Equal(head.GetId(), x.request.ID[:]), assert.OwnAnswer, "reply %x to request %s", head.GetId(), x.request.ID)
+	g.log.Debug().Str("request", x.request.ID.String()).Int("status", x.status).Int64("bytes", end.GetLength()).Msg("call_answered")
+	return end.GetError() == "" && x.bodyDone()
+}
+
+func (x *exchange) send(head *wire.ReplyHead, end *wire.ReplyEnd, resp *http.Response) error {
+	headFrame := &wire.Frame{Body: &wire.Frame_ReplyHead{ReplyHead: head}}
+	endFrame := &wire.Frame{Body: &wire.Frame_ReplyEnd{ReplyEnd: end}}
+	frames := make([]*wire.Frame, 0, 3)
+	frames = append(frames, headFrame)
+	if resp.ContentLength < 0 || resp.ContentLength > link.MaxChunkBytes {
+		if err := x.stream.link.Send(headFrame); err != nil {
+			return err
+		}
+		frames = frames[:0]
+	}
+	buf := make([]byte, chunkSize(resp.ContentLength))
+	for {
+		n, err := readChunk(resp, buf)
+		end.Length += int64(n)
+		if n > 0 {
+			frames = append(frames, &wire.Frame{Body: &wire.Frame_BodyChunk{BodyChunk: &wire.BodyChunk{Data: buf[:n]}}})
+		}
+		if err != nil {
+			x.finish(end, err, resp)
+			return x.stream.link.Send(append(frames, endFrame)...)
+		}
+		if err := x.stream.link.Send(frames...); err != nil {
+			return err
+		}
+		frames = frames[:0]
+	}
+}
+
+func (x *exchange) finish(end *wire.ReplyEnd, err error, resp *http.Response) {
+	if !errors.Is(err, io.EOF) {
+		end.Error = err.Error()
+		x.result.Failed = true
+	}
+	end.Trailers = header.Encode(resp.Trailer)
+	end.View = link.EncodeView(x.stream.guard.View())
+}
+
+// readChunk reads a small body in one piece, and what is there of others.
+func readChunk(resp *http.Response, buf []byte) (int, error) {
+	if resp.ContentLength < 0 || resp.ContentLength > link.MaxChunkBytes {
+		return resp.Body.Read(buf)
+	}
+	n, err := io.ReadFull(resp.Body, buf[:resp.ContentLength])
+	if err == nil {
+		err = io.EOF
+	}
+	return n, err
+}
+
+func chunkSize(length int64) int64 {
+	if length < 0 || length > link.MaxChunkBytes {
+		return link.MaxChunkBytes
+	}
+	return length
+}
--- /dev/null
+++ b/internal/path/guard/guard.go
@@ -0,0 +1,191 @@
+// Package guard runs the calls of entries on the daemon's own upstream. It is
+// the only path to that upstream, so its refusals are reliable.
+package guard
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/ledger"
+	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+// tickInterval lets queued calls time out soon after their limit.
+const tickInterval = 2 * clock.Millisecond
+
+// Sample is the end of a call at the upstream, for the comparison of versions.
+type Sample struct {
+	Request *call.Request
+	Status  int
+	Failed  bool
+	Latency clock.Milli
+}
+
+// Gate refuses calls that the configuration does not allow at this guard,
+// such as new work in a data centre that is out.
+type Gate func(now clock.Milli, r *call.Request) call.Reason
+
+// Guard hands calls to one upstream. It is safe for concurrent use.
+type Guard struct {
+	self     call.Target
+	clock    clock.Clock
+	log      zerolog.Logger
+	upstream *upstream
+	gate     Gate
+	sample   func(Sample)
+
+	mu      sync.Mutex
+	admit   *admit.Admitter
+	ledger  *ledger.Ledger
+	waiting map[call.ID]chan admit.Action
+	leaving bool
+	active  int
+	idle    chan struct{}
+}
+
+// Option changes a Guard.
+type Option func(*Guard)
+
+// WithLogger sets the logger.
+func WithLogger(l zerolog.Logger) Option {
+	return func(g *Guard) { g.log = l }
+}
+
+// WithGate sets the check that every call passes before admission.
+func WithGate(f Gate) Option {
+	return func(g *Guard) { g.gate = f }
+}
+
+// WithSample sets the receiver of samples.
+func WithSample(f func(Sample)) Option {
+	return func(g *Guard) { g.sample = f }
+}
+
+// WithAdmitter replaces the admitter, which by default uses the slots of the
+// target.
+func WithAdmitter(a *admit.Admitter) Option {
+	return func(g *Guard) { g.admit = a }
+}
+
+// New returns a guard of the upstream at addr.
+func New(self call.Target, addr string, clk clock.Clock, opts ...Option) *Guard {
+	g := &Guard{
+		self:     self,
+		clock:    clk,
+		log:      zerolog.Nop(),
+		upstream: newUpstream(addr, self.Connections),
+		gate:     func(clock.Milli, *call.Request) call.Reason { return call.ReasonNone },
+		sample:   func(Sample) {},
+		admit:    admit.New(self.Slots),
+		ledger:   ledger.New(),
+		waiting:  make(map[call.ID]chan admit.Action),
+		idle:     make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(g)
+	}
+	return g
+}
+
+// Serve runs the periodic work of the guard until ctx ends.
+func (g *Guard) Serve(ctx context.Context) error {
+	return g.run(ctx)
+}
+
+// Handle serves the calls and fences of one stream.
+func (g *Guard) Handle(ctx context.Context, st *link.Stream, first *wire.Frame) {
+	s := &stream{guard: g, link: st, in: make(chan *wire.Frame)}
+	s.serve(ctx, first)
+}
+
+// Leave refuses all new calls from now on.
+func (g *Guard) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+	if g.active == 0 {
+		g.closeIdle()
+	}
+}
+
+// Drain waits until the calls in progress after Leave have ended. It returns
+// the number of calls that were left when ctx ended.
+func (g *Guard) Drain(ctx context.Context) int {
+	select {
+	case <-g.idle:
+		return 0
+	case <-ctx.Done():
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.active
+	}
+}
+
+// InProgress returns the number of calls being served.
+func (g *Guard) InProgress() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.active
+}
+
+// View reports the state of the upstream.
+func (g *Guard) View() call.View {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.view()
+}
+
+func (g *Guard) view() call.View {
+	v := g.admit.View(g.clock.Now())
+	v.Target = g.self.ID
+	v.Incarnation = g.self.Incarnation
+	v.Leaving = v.Leaving || g.leaving
+	return v
+}
+
+func (g *Guard) closeIdle() {
+	select {
+	case <-g.idle:
+	default:
+		close(g.idle)
+	}
+}
+
+// enter counts a call; it reports false when the guard is leaving.
+func (g *Guard) enter() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leaving {
+		return false
+	}
+	g.active++
+	return true
+}
+
+func (g *Guard) exit() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.active--
+	if g.leaving && g.active == 0 {
+		g.closeIdle()
+	}
+}
+
+// fence answers a fence request.
+func (g *Guard) fence(f *wire.Fence, off *link.Offset) call.Outcome {
+	id, err := call.IDFrom(f.GetId())
+	if err != nil || f.GetIncarnation() != g.self.Incarnation {
+		return call.Unknown
+	}
+	now := g.clock.Now()
+	off.Observe(now, clock.Milli(f.GetSentAt()))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Fence(now, id, off.Local(clock.Milli(f.GetDeadline())))
+}
--- /dev/null
+++ b/internal/path/guard/upstream.go
@@ -0,0 +1,122 @@
+package guard
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+const (
+	dialTimeout = clock.Second
+	// idleTimeout is short, so that a connection is rarely reused at the
+	// moment that the upstream closes it.
+	idleTimeout       = 20 * clock.Second
+	maxResponseHeader = 64 << 10
+)
+
+// upstream is the HTTP client of the guard's upstream.
+type upstream struct {
+	base      string
+	transport *http.Transport
+}
+
+func newUpstream(addr string, connections int) *upstream {
+	u := &upstream{base: "http://" + addr}
+	u.transport = &http.Transport{
+		DialContext:            dialCounting,
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        idleTimeout.Duration(),
+		MaxResponseHeaderBytes: maxResponseHeader,
+		DisableCompression:     true,
+		Protocols:              http1Only(),
+	}
+	return u
+}
+
+func http1Only() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	return p
+}
+
+// countingConn counts the bytes written, which proves whether a failed
+// request reached the upstream.
+type countingConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	c.written.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+func dialCounting(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout.Duration()}
+	conn, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn}, nil
+}
+
+// trace follows one request on its connection.
+type trace struct {
+	conn   atomic.Pointer[countingConn]
+	before atomic.Int64
+	reused atomic.Bool
+}
+
+func (t *trace) gotConn(info httptrace.GotConnInfo) {
+	c, ok := info.Conn.(*countingConn)
+	if !ok {
+		return
+	}
+	t.before.Store(c.written.Load())
+	t.reused.Store(info.Reused)
+	t.conn.Store(c)
+}
+
+// reached reports whether a byte of the request may have reached the upstream.
+func (t *trace) reached() bool {
+	c := t.conn.Load()
+	return c != nil && c.written.Load() > t.before.Load()
+}
+
+// onceBody is a body that the HTTP client can't send a second time: it has no
+// GetBody and is never http.NoBody, so the client does not replay by itself.
+type onceBody struct {
+	io.Reader
+}
+
+// Close implements io.Closer.
+func (onceBody) Close() error {
+	return nil
+}
+
+func (u *upstream) request(ctx context.Context, t *trace, c *wire.CallStart, body io.Reader, r *call.Request, now clock.Milli) (*http.Request, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
+	req, err := http.NewRequestWithContext(ctx, c.GetMethod(), u.base+c.GetUri(), onceBody{body})
+	if err != nil {
+		return nil, err
+	}
+	req.Host = c.GetHost()
+	req.ContentLength = c.GetContentLength()
+	header.Decode(req.Header, c.GetHeaders())
+	req.Header.Set(header.RequestID, r.ID.String())
+	req.Header.Set(header.Depth, strconv.Itoa(r.Depth))
+	left := max(int(r.Deadline-now), 1)
+	req.Header.Set(header.TimeoutMs, strconv.Itoa(left))
+	return req, nil
+}
--- /dev/null
+++ b/internal/wire/link/session.go
@@ -0,0 +1,243 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+// ProtocolVersion changes when daemons can no longer understand each other.
+const ProtocolVersion = 1
+
+const (
+	handshakeTimeout = 3 * clock.Second
+	// maxHandshakeTrip bounds the error of the first clock offset: a session
+	// whose handshake took longer, for example because the peer was paused,
+	// is given up.
+	maxHandshakeTrip = 500 * clock.Millisecond
+	keepAlive        = 10 * clock.Second
+	writeTimeout     = 5 * clock.Second
+	acceptBacklog    = 1024
+	// maxIdleStreams bounds the streams that a session keeps for reuse.
+	maxIdleStreams = 256
+)
+
+// Identity is what a daemon says of itself in the handshake.
+type Identity struct {
+	Fleet       string
+	Member      string
+	Incarnation uint64
+}
+
+// Peer is what the other side said.
+type Peer struct {
+	Member      string
+	Incarnation uint64
+}
+
+// Session is a connection between two daemons. It is safe for concurrent use.
+type Session struct {
+	mux    *yamux.Session
+	peer   Peer
+	offset *Offset
+
+	mu   sync.Mutex
+	idle []*Stream
+}
+
+// Peer returns the identity of the other side.
+func (s *Session) Peer() Peer {
+	return s.peer
+}
+
+// Offset returns the estimate of the peer's clock.
+func (s *Session) Offset() *Offset {
+	return s.offset
+}
+
+// Open returns an idle stream or a new one.
+func (s *Session) Open() (*Stream, error) {
+	s.mu.Lock()
+	if n := len(s.idle); n > 0 {
+		st := s.idle[n-1]
+		s.idle = s.idle[:n-1]
+		s.mu.Unlock()
+		return st, nil
+	}
+	s.mu.Unlock()
+	conn, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, errors.Wrap(ErrClosed, err.Error())
+	}
+	return newStream(conn, s), nil
+}
+
+// Release keeps a stream for reuse. Only a stream whose last exchange ended
+// cleanly may be released; others are closed.
+func (s *Session) Release(st *Stream) {
+	st.SetReadTimeout(0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.idle) >= maxIdleStreams || s.mux.IsClosed() {
+		st.Close()
+		return
+	}
+	s.idle = append(s.idle, st)
+}
+
+// Closed reports whether the session can't be used any more.
+func (s *Session) Closed() bool {
+	return s.mux.IsClosed()
+}
+
+// Close ends the session and all its streams.
+func (s *Session) Close() {
+	_ = s.mux.Close()
+}
+
+func muxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.AcceptBacklog = acceptBacklog
+	c.KeepAliveInterval = keepAlive.Duration()
+	c.ConnectionWriteTimeout = writeTimeout.Duration()
+	c.StreamOpenTimeout = handshakeTimeout.Duration()
+	c.StreamCloseTimeout = clock.Minute.Duration()
+	c.LogOutput = io.Discard
+	return c
+}
+
+// dial connects to the daemon at addr and shakes hands.
+func dial(ctx context.Context, addr string, self Identity, clk clock.Clock) (*Session, error) {
+	d := net.Dialer{Timeout: handshakeTimeout.Duration()}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(ErrClosed, err.Error())
+	}
+	mux, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(ErrHandshake, err.Error())
+	}
+	s := &Session{mux: mux, offset: NewOffset()}
+	if err := s.greet(ctx, self, clk); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Session) greet(ctx context.Context, self Identity, clk clock.Clock) error {
+	conn, err := s.mux.OpenStream()
+	if err != nil {
+		return errors.Wrap(ErrHandshake, err.Error())
+	}
+	st := newStream(conn, s)
+	defer st.Close()
+	stop := context.AfterFunc(ctx, st.Interrupt)
+	defer stop()
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout.Duration()))
+	sent := clk.Now()
+	if err := st.Send(helloFrame(self, clk, "")); err != nil {
+		return errors.Wrap(ErrHandshake, err.Error())
+	}
+	hello, err := receiveHello(st)
+	if err != nil {
+		return err
+	}
+	if trip := clk.Now() - sent; trip > maxHandshakeTrip {
+		return errors.Wrapf(ErrHandshake, "peer answered after %.0f ms", float64(trip))
+	}
+	if hello.GetError() != "" {
+		return errors.Wrapf(ErrHandshake, "peer says %q", hello.GetError())
+	}
+	s.accept(hello, clk)
+	return nil
+}
+
+// welcome answers the handshake of an accepted connection.
+func welcome(conn net.Conn, self Identity, clk clock.Clock) (*Session, error) {
+	timer := time.AfterFunc(handshakeTimeout.Duration(), func() { _ = conn.Close() })
+	defer timer.Stop()
+	mux, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(ErrHandshake, err.Error())
+	}
+	s := &Session{mux: mux, offset: NewOffset()}
+	if err := s.answer(self, clk); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Session) answer(self Identity, clk clock.Clock) error {
+	conn, err := s.mux.AcceptStream()
+	if err != nil {
+		return errors.Wrap(ErrHandshake, err.Error())
+	}
+	st := newStream(conn, s)
+	defer st.Close()
+	hello, err := receiveHello(st)
+	if err != nil {
+		return err
+	}
+	if refusal := refuse(hello, self); refusal != "" {
+		_ = st.Send(helloFrame(self, clk, refusal))
+		return errors.Wrap(ErrHandshake, refusal)
+	}
+	if err := st.Send(helloFrame(self, clk, "")); err != nil {
+		return errors.Wrap(ErrHandshake, err.Error())
+	}
+	s.accept(hello, clk)
+	return nil
+}
+
+func (s *Session) accept(h *wire.Hello, clk clock.Clock) {
+	s.peer = Peer{Member: h.GetMember(), Incarnation: h.GetIncarnation()}
+	s.offset.Observe(clk.Now(), clock.Milli(h.GetClock()))
+}
+
+func refuse(h *wire.Hello, self Identity) string {
+	switch {
+	case h.GetFleet() != self.Fleet:
+		return "wrong fleet " + h.GetFleet()
+	case h.GetProtocol() != ProtocolVersion:
+		return "wrong protocol version"
+	case h.GetMember() == "":
+		return "member id missing"
+	default:
+		return ""
+	}
+}
+
+func helloFrame(self Identity, clk clock.Clock, refusal string) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{
+		Fleet:       self.Fleet,
+		Member:      self.Member,
+		Incarnation: self.Incarnation,
+		Protocol:    ProtocolVersion,
+		Clock:       float64(clk.Now()),
+		Error:       refusal,
+	}}}
+}
+
+func receiveHello(st *Stream) (*wire.Hello, error) {
+	f, err := st.Receive()
+	if err != nil {
+		return nil, errors.Wrap(ErrHandshake, err.Error())
+	}
+	h := f.GetHello()
+	if h == nil {
+		return nil, errors.Wrap(ErrHandshake, "first frame is no hello")
+	}
+	return h, nil
+}
