--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -114,7 +114,9 @@
 	}
 	err := d.stop()
 	cancel()
-	_ = <-done // the supervisor only reports that it was cancelled
+	if down := <-done; !errors.Is(down, context.Canceled) {
+		d.log.Warn().Err(down).Msg("supervisor_ended")
+	}
 	d.pool.Close()
 	return err
 }
