--- /dev/null
+++ b/commands/registry.go
@@ -0,0 +1,85 @@
+// Package commands holds the subcommands; each file registers its own.
+package commands
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sort"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitNotKnown = 3
+)
+
+type registration struct {
+	name, short, long string
+	command           any
+}
+
+var registered []registration
+
+// Register adds a subcommand. Command is a struct of options with an Execute
+// method, as go-flags wants it, or one whose fields are subcommands.
+func Register(name, short, long string, command any) {
+	registered = append(registered, registration{name, short, long, command})
+}
+
+// ExitError carries the exit code of a failed command.
+type ExitError struct {
+	Code int
+	Err  error
+}
+
+func (e *ExitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// stdout and stderr are replaced in tests.
+var (
+	stdout io.Writer = os.Stdout
+	stderr io.Writer = os.Stderr
+)
+
+// Run runs the subcommand that args name and returns the exit code.
+func Run(args []string) int {
+	p := flags.NewNamedParser("cranberrytack", flags.HelpFlag|flags.PassDoubleDash)
+	sort.Slice(registered, func(i, j int) bool { return registered[i].name < registered[j].name })
+	for _, r := range registered {
+		if _, err := p.AddCommand(r.name, r.short, r.long, r.command); err != nil {
+			fmt.Fprintln(stderr, "command", r.name+":", err)
+			return ExitFailed
+		}
+	}
+	_, err := p.ParseArgs(args)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var usage *flags.Error
+	var exit *ExitError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(stdout, usage.Message)
+		return ExitOK
+	case errors.As(err, &usage):
+		fmt.Fprintln(stderr, usage.Message)
+		return ExitUsage
+	case errors.As(err, &exit):
+		fmt.Fprintln(stderr, exit.Err)
+		return exit.Code
+	default:
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+}
--- /dev/null
+++ b/internal/admin/server/read.go
@@ -0,0 +1,178 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/admin/auth"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/fold"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/policy"
+)
+
+// Sizes of pages.
+const (
+	defaultPage = 50
+	maxPage     = 500
+)
+
+// Page is one page of a list. Next is the value of "after" for the next one,
+// empty on the last.
+type Page[T any] struct {
+	Revision int64  `json:"revision"`
+	Items    []T    `json:"items"`
+	Next     string `json:"next,omitempty"`
+}
+
+// page cuts a list. The items' keys must be distinct, as "after" names the
+// last key of the page before.
+func page[T any](s *Server, w http.ResponseWriter, r *http.Request, items []T, key func(T) string) {
+	limit := defaultPage
+	if text := r.FormValue("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxPage {
+			s.fail(w, r, http.StatusBadRequest, Error{
+				Code: CodeBadRequest, Message: "limit is not a number from 1 to 500: " + strconv.Quote(text),
+				Key: "limit", Value: text, Allowed: "1 to 500",
+			})
+			return
+		}
+		limit = n
+	}
+	if after := r.FormValue("after"); after != "" {
+		i := slices.IndexFunc(items, func(t T) bool { return key(t) == after })
+		if i < 0 {
+			s.fail(w, r, http.StatusBadRequest, Error{
+				Code: CodeBadRequest, Message: "after names no item, begin again: " + strconv.Quote(after),
+				Key: "after", Value: after, Allowed: "next of the page before",
+			})
+			return
+		}
+		items = items[i+1:]
+	}
+	p := Page[T]{Revision: s.follower.Config().Revision, Items: items[:min(limit, len(items))]}
+	if len(items) > limit {
+		p.Next = key(items[limit-1])
+	}
+	s.reply(w, http.StatusOK, p)
+}
+
+func (s *Server) listExceptions(w http.ResponseWriter, r *http.Request) {
+	who := auth.From(r.Context())
+	now := s.clock.Now()
+	items := []Exception{}
+	for _, e := range s.follower.Config().Exceptions {
+		if who.Sees(e.Scope.Service) {
+			items = append(items, newException(&e, now))
+		}
+	}
+	page(s, w, r, items, func(e Exception) string { return e.ID })
+}
+
+func (s *Server) getException(w http.ResponseWriter, r *http.Request) {
+	e, ok := s.follower.Config().Exception(r.PathValue("id"))
+	if !ok || !auth.From(r.Context()).Sees(e.Scope.Service) {
+		s.fail(w, r, http.StatusNotFound, Error{Code: CodeNotFound, Message: "no exception " + strconv.Quote(r.PathValue("id"))})
+		return
+	}
+	s.reply(w, http.StatusOK, newException(&e, s.clock.Now()))
+}
+
+func (s *Server) getDefaults(w http.ResponseWriter, r *http.Request) {
+	c := s.follower.Config()
+	who := auth.From(r.Context())
+	d := Defaults{Revision: c.Revision, TimeoutMS: float64(c.Defaults.Timeout), Routes: []Route{}}
+	for _, route := range c.Defaults.Routes {
+		if who.Sees(route.Service) {
+			d.Routes = append(d.Routes, newRoute(&route))
+		}
+	}
+	s.reply(w, http.StatusOK, d)
+}
+
+func (s *Server) history(w http.ResponseWriter, r *http.Request) {
+	who := auth.From(r.Context())
+	items := []HistoryItem{}
+	for _, e := range slices.Backward(s.follower.History()) {
+		if who.Sees(e.Service) {
+			items = append(items, newHistoryItem(e))
+		}
+	}
+	page(s, w, r, items, func(h HistoryItem) string { return h.ID })
+}
+
+func (s *Server) listTeams(w http.ResponseWriter, r *http.Request) {
+	c := s.follower.Config()
+	items := make([]Team, 0, len(c.Teams))
+	for _, t := range c.Teams {
+		team := Team{Name: t.Name, Services: t.Services, Tokens: []Token{}}
+		for _, k := range c.Tokens {
+			if k.Team == t.Name {
+				team.Tokens = append(team.Tokens, Token{ID: k.ID, Roles: k.Roles, Expires: rfc3339(k.Expires)})
+			}
+		}
+		items = append(items, team)
+	}
+	page(s, w, r, items, func(t Team) string { return t.Name })
+}
+
+func (s *Server) getChange(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), resolveTimeout)
+	defer cancel()
+	id := r.PathValue("id")
+	o, err := s.follower.Resolve(ctx, id)
+	if err != nil {
+		s.failPublish(w, r, id, err)
+		return
+	}
+	c := newChange(o)
+	if o.Status == fold.StatusAccepted {
+		cctx, stop := context.WithTimeout(r.Context(), coverageTimeout)
+		defer stop()
+		c.InForce = newCoverage(s.follower.Coverage(cctx, o.Offset))
+	}
+	s.reply(w, http.StatusOK, c)
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	h := s.follower.Health()
+	now := s.clock.Now()
+	ctx, cancel := context.WithTimeout(r.Context(), coverageTimeout)
+	defer cancel()
+	v := Status{
+		Ready: h.Ready, Revision: h.Revision, Applied: h.Applied, Waiting: h.Waiting,
+		InForce: newCoverage(s.follower.Coverage(ctx, h.Revision)), Log: LogStatus{State: "up"},
+	}
+	if h.LastRead > 0 {
+		v.Log.LastReadMS = float64(now) - h.LastRead
+	}
+	if h.ReadError != nil {
+		v.Log.State, v.Log.Detail = "down", h.ReadError.Error()
+	}
+	if h.Fault != nil {
+		v.Log.State, v.Log.Detail = h.Fault.Kind.String(), h.Fault.Detail
+	}
+	for _, e := range s.follower.Config().Exceptions {
+		if e.Effect == policy.EffectCentreOut && e.Active(now) {
+			v.CentresOut = append(v.CentresOut, e.Scope.Centre)
+		}
+	}
+	s.reply(w, http.StatusOK, v)
+}
+
+func (s *Server) listMembers(w http.ResponseWriter, r *http.Request) {
+	items := []Member{}
+	if s.members != nil {
+		items = append(items, s.members.Members()...)
+	}
+	page(s, w, r, items, func(m Member) string { return m.ID })
+}
+
+func (s *Server) getExplain(w http.ResponseWriter, r *http.Request) {
+	if s.explain == nil {
+		s.fail(w, r, http.StatusNotFound, Error{Code: CodeNotFound, Message: "this daemon writes no reports"})
+		return
+	}
+	s.explain.ServeHTTP(w, r)
+}
--- /dev/null
+++ b/internal/admin/server/shapes.go
@@ -0,0 +1,151 @@
+package server
+
+import (
+	"time"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/fold"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/policy"
+)
+
+// Exception is an exception as the API shows it.
+type Exception struct {
+	ID       string       `json:"id"`
+	Effect   string       `json:"effect"`
+	Scope    policy.Scope `json:"scope"`
+	Reason   string       `json:"reason"`
+	Author   string       `json:"author"`
+	Start    string       `json:"start,omitempty"`
+	End      string       `json:"end,omitempty"`
+	Active   bool         `json:"active"`
+	Revision int64        `json:"revision"`
+	Move     *Move        `json:"move,omitempty"`
+	Route    *Route       `json:"route,omitempty"`
+}
+
+// Move is the part of a version move.
+type Move struct {
+	FinishBy    string  `json:"finish_by"`
+	UnprovenCap float64 `json:"unproven_cap"`
+	Cap         float64 `json:"cap"`
+	State       string  `json:"state"`
+	Evidence    string  `json:"evidence,omitempty"`
+}
+
+// Route is a route of the defaults, or what an exception changes of one.
+type Route struct {
+	Name       string   `json:"name,omitempty"`
+	Service    string   `json:"service,omitempty"`
+	Prefix     string   `json:"prefix,omitempty"`
+	Methods    []string `json:"methods,omitempty"`
+	Class      string   `json:"class,omitempty"`
+	TimeoutMS  float64  `json:"timeout_ms,omitempty"`
+	Repeatable *bool    `json:"repeatable,omitempty"`
+	SlotShare  float64  `json:"slot_share,omitempty"`
+}
+
+// Defaults are the fleet-wide defaults.
+type Defaults struct {
+	Revision  int64   `json:"revision"`
+	TimeoutMS float64 `json:"timeout_ms"`
+	Routes    []Route `json:"routes"`
+}
+
+// HistoryItem is one change.
+type HistoryItem struct {
+	ID      string `json:"id"`
+	Offset  int64  `json:"offset"`
+	Status  string `json:"status"`
+	By      string `json:"by"`
+	At      string `json:"at"`
+	Subject string `json:"subject"`
+	Reason  string `json:"reason,omitempty"`
+	Detail  string `json:"detail,omitempty"`
+}
+
+// Team is a team with its tokens.
+type Team struct {
+	Name     string   `json:"name"`
+	Services []string `json:"services"`
+	Tokens   []Token  `json:"tokens"`
+}
+
+// Token is a token without its hash.
+type Token struct {
+	ID      string   `json:"id"`
+	Roles   []string `json:"roles"`
+	Expires string   `json:"expires,omitempty"`
+}
+
+// Status is the state of the configuration at this daemon.
+type Status struct {
+	Ready    bool  `json:"ready"`
+	Revision int64 `json:"revision"`
+	Applied  int64 `json:"applied"`
+	// Waiting says that records were received whose predecessors are missing.
+	Waiting    bool      `json:"waiting"`
+	InForce    *Coverage `json:"in_force"`
+	Log        LogStatus `json:"log"`
+	CentresOut []string  `json:"centres_out,omitempty"`
+}
+
+// LogStatus is the state of the platform log as this daemon sees it.
+type LogStatus struct {
+	// State is up, down, or why the log is not followed.
+	State      string  `json:"state"`
+	Detail     string  `json:"detail,omitempty"`
+	LastReadMS float64 `json:"last_read_ms_ago"`
+}
+
+func newException(e *policy.Exception, now clock.Milli) Exception {
+	v := Exception{
+		ID: e.ID, Effect: e.Effect.String(), Scope: e.Scope, Reason: e.Reason, Author: e.Author,
+		Start: rfc3339(e.Start), End: rfc3339(e.End), Active: e.Active(now), Revision: e.Revision,
+	}
+	if m := e.Move; m != nil {
+		v.Move = &Move{
+			FinishBy: rfc3339(m.FinishBy), UnprovenCap: m.UnprovenCap, Cap: m.Cap,
+			State: moveState(m), Evidence: m.Evidence,
+		}
+	}
+	if e.Route != nil {
+		r := newRoute(e.Route)
+		if !e.ClassSet {
+			r.Class = ""
+		}
+		v.Route = &r
+	}
+	return v
+}
+
+func moveState(m *policy.VersionMove) string {
+	switch {
+	case m.TakenBack:
+		return fold.VerdictTakenBack
+	case m.Done:
+		return fold.VerdictDone
+	default:
+		return "open"
+	}
+}
+
+func newRoute(r *policy.Route) Route {
+	return Route{
+		Name: r.Name, Service: r.Service, Prefix: r.Prefix, Methods: r.Methods, Class: r.Class.String(),
+		TimeoutMS: float64(r.Timeout), Repeatable: r.Repeatable, SlotShare: r.SlotShare,
+	}
+}
+
+func newHistoryItem(e fold.Entry) HistoryItem {
+	return HistoryItem{
+		ID: e.Outcome.ID, Offset: e.Outcome.Offset, Status: e.Outcome.Status.String(), By: e.Author,
+		At: rfc3339(clock.Milli(e.AtMS)), Subject: e.Subject, Reason: e.Reason, Detail: e.Outcome.Detail,
+	}
+}
+
+func rfc3339(m clock.Milli) string {
+	if m == 0 {
+		return ""
+	}
+	return m.Time().Format(time.RFC3339)
+}
--- /dev/null
+++ b/internal/conf/fold/peers.go
@@ -0,0 +1,81 @@
+package fold
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/applog"
+)
+
+// Bounds of the table of first peers.
+const (
+	// PeersPerCentre gives a new daemon a few peers to try in each centre.
+	PeersPerCentre = 4
+	maxPeers       = 128
+	// PeerExpiry is how long an announcement is worth a try.
+	PeerExpiry = 24 * clock.Hour
+)
+
+// FirstPeer is a daemon that a new one may ask for the state. It is also the
+// body of announce and leave records.
+type FirstPeer struct {
+	Address     string `json:"address"`
+	Centre      string `json:"centre"`
+	Incarnation uint64 `json:"incarnation"`
+	// AtMS is the time of the announcement on the sender's clock.
+	AtMS   float64 `json:"at_ms,omitempty"`
+	Offset int64   `json:"offset,omitempty"`
+}
+
+// FirstPeers returns the announced daemons that have not expired at now, the
+// newest first. The expiry is applied here and not in the fold, which has no
+// clock.
+func (s *State) FirstPeers(now clock.Milli) []FirstPeer {
+	peers := make([]FirstPeer, 0, len(s.d.Peers))
+	for _, p := range slices.Backward(s.d.Peers) {
+		if now-clock.Milli(p.AtMS) < PeerExpiry {
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
+
+func (s *State) announce(offset int64, r applog.Record) {
+	var p FirstPeer
+	if json.Unmarshal(r.Body, &p) != nil || p.Address == "" {
+		return
+	}
+	i := slices.IndexFunc(s.d.Peers, func(q FirstPeer) bool { return q.Address == p.Address })
+	if i >= 0 {
+		if s.d.Peers[i].Incarnation > p.Incarnation {
+			return
+		}
+		s.d.Peers = slices.Delete(s.d.Peers, i, i+1)
+	}
+	if r.Kind == applog.KindLeave {
+		return
+	}
+	p.AtMS, p.Offset = r.At, offset
+	s.d.Peers = append(s.d.Peers, p)
+	slices.SortFunc(s.d.Peers, func(a, b FirstPeer) int { return cmp.Compare(a.Offset, b.Offset) })
+	s.dropPeers(p.Centre)
+}
+
+func (s *State) dropPeers(centre string) {
+	same := func(q FirstPeer) bool { return q.Centre == centre }
+	n := 0
+	for _, q := range s.d.Peers {
+		if same(q) {
+			n++
+		}
+	}
+	if n > PeersPerCentre {
+		i := slices.IndexFunc(s.d.Peers, same)
+		s.d.Peers = slices.Delete(s.d.Peers, i, i+1)
+	}
+	if len(s.d.Peers) > maxPeers {
+		s.d.Peers = slices.Delete(s.d.Peers, 0, 1)
+	}
+}
--- /dev/null
+++ b/internal/conf/follow/coverage.go
@@ -0,0 +1,71 @@
+package follow
+
+import (
+	"context"
+	"sort"
+	"sync"
+)
+
+// askAtOnce bounds the exchanges that one question about a revision starts.
+const askAtOnce = 32
+
+// Coverage says where a revision is in force.
+type Coverage struct {
+	Revision int64
+	Live     int
+	InForce  int
+	// Missing are the live members not known to have it.
+	Missing []string
+}
+
+// Everywhere reports whether every live member has the revision.
+func (c Coverage) Everywhere() bool { return c.Live == c.InForce }
+
+// Coverage says at which live members a revision is in force. Members that
+// are not known to have it are asked.
+func (f *Follower) Coverage(ctx context.Context, revision int64) Coverage {
+	peers := f.peers()
+	slots := make(chan struct{}, askAtOnce)
+	var wg sync.WaitGroup
+	for _, p := range peers {
+		if f.KnownRevision(p.ID()) >= revision {
+			continue
+		}
+		wg.Go(func() {
+			slots <- struct{}{}
+			f.tell(ctx, p, nil)
+			<-slots
+		})
+	}
+	wg.Wait()
+	c := Coverage{Revision: revision, Live: len(peers) + 1}
+	if f.Config().Revision >= revision {
+		c.InForce++
+	} else {
+		c.Missing = append(c.Missing, f.o.Member)
+	}
+	for _, p := range peers {
+		if f.KnownRevision(p.ID()) >= revision {
+			c.InForce++
+		} else {
+			c.Missing = append(c.Missing, p.ID())
+		}
+	}
+	sort.Strings(c.Missing)
+	return c
+}
+
+// KnownRevision returns the newest revision that a member reported.
+func (f *Follower) KnownRevision(member string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known[member]
+}
+
+// NoteRevision records a revision that a member reported by another way, such
+// as the membership's probes.
+func (f *Follower) NoteRevision(member string, revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known[member] = max(f.known[member], revision)
+}
--- a/internal/conf/policy/config.go
+++ b/internal/conf/policy/config.go
@@ -17,6 +17,8 @@
 	Revision   int64
 	Defaults   Defaults
 	Exceptions []Exception
+	Teams      []Team
+	Tokens     []Token
 }
 
 // Defaults apply to the whole fleet.
@@ -35,6 +37,12 @@
 	Class      call.Class  `toml:"class"`
 	Timeout    clock.Milli `toml:"timeout_ms"`
 	Repeatable *bool       `toml:"repeatable"`
+	// SlotShare is the largest share in 0..1 of each upstream's slots that
+	// calls of the route occupy; zero is no cap. It is a share, because a
+	// number of calls would be a setting of individual servers.
+	SlotShare float64 `toml:"slot_share"`
+	// Exceptions are the ids of the exceptions that changed the route.
+	Exceptions []string `toml:"-"`
 }
 
 // Effect is what an exception does.
@@ -49,14 +57,15 @@
 	EffectMove                     // version_move
 	EffectRoute                    // route
 	EffectBackground               // shed_background
+	EffectRouteCap                 // route_cap
 )
 
 // Scope limits an exception. Empty fields match everything.
 type Scope struct {
-	Service string `toml:"service"`
-	Route   string `toml:"route"`
-	Centre  string `toml:"centre"`
-	Version string `toml:"version"`
+	Service string `toml:"service" json:"service,omitempty"`
+	Route   string `toml:"route" json:"route,omitempty"`
+	Centre  string `toml:"centre" json:"centre,omitempty"`
+	Version string `toml:"version" json:"version,omitempty"`
 }
 
 // Exception changes the defaults for a scope and says why.
@@ -73,6 +82,8 @@
 	Revision int64
 	Move     *VersionMove
 	Route    *Route
+	// ClassSet says that Route.Class was given; its zero value is a class.
+	ClassSet bool
 }
 
 // VersionMove moves the traffic of a service to a new version.
@@ -84,6 +95,8 @@
 	FinishBy   clock.Milli
 	// UnprovenCap is the largest share in 0..1 before the version is proven.
 	UnprovenCap float64
+	// Cap is the largest share in 0..1 at any time; 1 moves all traffic.
+	Cap float64
 	// TakenBack and Done are settled by records in the log.
 	TakenBack bool
 	Done      bool
@@ -121,14 +134,28 @@
 }
 
 // Route returns the rules for a request: those of the longest matching
-// prefix, completed by the defaults.
+// prefix, completed by the defaults and changed by the exceptions that have
+// neither a start nor an end. RouteAt also applies the others.
 func (c *Config) Route(service, method, path string) Route {
-	best := Route{Name: "default", Service: service, Prefix: "/"}
+	best := c.defaultRoute(service, method, path)
+	return c.except(best, func(e *Exception) bool { return e.Start == 0 && e.End == 0 })
+}
+
+// RouteAt returns the rules for a request at now.
+func (c *Config) RouteAt(service, method, path string, now clock.Milli) Route {
+	best := c.defaultRoute(service, method, path)
+	return c.except(best, func(e *Exception) bool { return e.Active(now) })
+}
+
+func (c *Config) defaultRoute(service, method, path string) Route {
+	best := Route{Name: DefaultRoute, Service: service, Prefix: "/"}
 	for _, r := range c.Defaults.Routes {
 		if r.matches(service, method, path) && len(r.Prefix) >= len(best.Prefix) {
 			best = r
 		}
 	}
+	// A route for all services takes the name of the one that is called.
+	best.Service = service
 	if best.Timeout == 0 {
 		best.Timeout = c.Defaults.Timeout
 	}
@@ -142,6 +169,67 @@
 	return best
 }
 
+// except applies the exceptions for a route in the order of the list, which
+// is that of their revisions, so that a later one takes precedence.
+func (c *Config) except(r Route, inForce func(*Exception) bool) Route {
+	for i := range c.Exceptions {
+		e := &c.Exceptions[i]
+		if e.Route == nil || !e.Scope.coversRoute(r.Service, r.Name) || !inForce(e) {
+			continue
+		}
+		if e.Route.Timeout != 0 {
+			r.Timeout = e.Route.Timeout
+		}
+		if e.Route.Repeatable != nil {
+			r.Repeatable = e.Route.Repeatable
+		}
+		if e.Effect == EffectRoute && e.ClassSet {
+			r.Class = e.Route.Class
+		}
+		if e.Route.SlotShare != 0 {
+			r.SlotShare = e.Route.SlotShare
+		}
+		r.Exceptions = append(r.Exceptions, e.ID)
+	}
+	return r
+}
+
+// ShedBackground returns the exception that sheds background work of a
+// service in a data centre at now.
+func (c *Config) ShedBackground(service, centre string, now clock.Milli) (Exception, bool) {
+	for i := range c.Exceptions {
+		e := &c.Exceptions[i]
+		if e.Effect != EffectBackground || !e.Active(now) {
+			continue
+		}
+		if covers(e.Scope.Service, service) && covers(e.Scope.Centre, centre) {
+			return *e, true
+		}
+	}
+	return Exception{}, false
+}
+
+// Exception returns the exception with an id.
+func (c *Config) Exception(id string) (Exception, bool) {
+	for i := range c.Exceptions {
+		if c.Exceptions[i].ID == id {
+			return c.Exceptions[i], true
+		}
+	}
+	return Exception{}, false
+}
+
+func (s *Scope) coversRoute(service, route string) bool {
+	return covers(s.Service, service) && covers(s.Route, route)
+}
+
+func covers(scope, value string) bool {
+	return scope == "" || scope == value
+}
+
+// DefaultRoute names the route of requests that match no other.
+const DefaultRoute = "default"
+
 // DefaultTimeout applies to routes without a timeout of their own.
 const DefaultTimeout = clock.Second
 
--- a/internal/conf/policy/effect_string.go
+++ b/internal/conf/policy/effect_string.go
@@ -13,11 +13,12 @@
 	_ = x[EffectMove-2]
 	_ = x[EffectRoute-3]
 	_ = x[EffectBackground-4]
+	_ = x[EffectRouteCap-5]
 }
 
-const _Effect_name = "nonecentre_outversion_moverouteshed_background"
+const _Effect_name = "nonecentre_outversion_moverouteshed_backgroundroute_cap"
 
-var _Effect_index = [...]uint8{0, 4, 14, 26, 31, 46}
+var _Effect_index = [...]uint8{0, 4, 14, 26, 31, 46, 55}
 
 func (i Effect) String() string {
 	idx := int(i) - 0
