--- a/commands/registry.go
+++ b/commands/registry.go
@@ -1,15 +1,17 @@
-// Package commands holds the subcommands of the program. Each registers itself.
+// Package commands holds the subcommands; each file registers its own.
 package commands
 
 import (
-	"errors"
 	"fmt"
+	"io"
 	"os"
+	"sort"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
 )
 
-// Exit codes for scripts.
+// Exit codes.
 const (
 	ExitOK       = 0
 	ExitFailed   = 1
@@ -17,37 +19,43 @@
 	ExitNotKnown = 3
 )
 
-// Version is the program's version.
-const Version = "0.1.0"
-
-type entry struct {
+type registration struct {
 	name, short, long string
 	command           any
 }
 
-var registry []entry
+var registered []registration
 
-// Register adds a subcommand. It is called from init functions.
+// Register adds a subcommand. Command is a struct of options with an Execute
+// method, as go-flags wants it, or one whose fields are subcommands.
 func Register(name, short, long string, command any) {
-	registry = append(registry, entry{name: name, short: short, long: long, command: command})
+	registered = append(registered, registration{name, short, long, command})
 }
 
-// exitError ends the program with a code of its own.
-type exitError struct {
-	code int
-	err  error
+// ExitError carries the exit code of a failed command.
+type ExitError struct {
+	Code int
+	Err  error
 }
 
-func (e *exitError) Error() string {
-	return e.err.Error()
-}
+func (e *ExitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// stdout and stderr are replaced in tests.
+var (
+	stdout io.Writer = os.Stdout
+	stderr io.Writer = os.Stderr
+)
 
-// Run parses the arguments, runs the subcommand and returns the exit code.
+// Run runs the subcommand that args name and returns the exit code.
 func Run(args []string) int {
 	p := flags.NewNamedParser("cranberrytack", flags.HelpFlag|flags.PassDoubleDash)
-	for _, e := range registry {
-		if _, err := p.AddCommand(e.name, e.short, e.long, e.command); err != nil {
-			fmt.Fprintln(os.Stderr, "cranberrytack:", err)
+	sort.Slice(registered, func(i, j int) bool { return registered[i].name < registered[j].name })
+	for _, r := range registered {
+		if _, err := p.AddCommand(r.name, r.short, r.long, r.command); err != nil {
+			fmt.Fprintln(stderr, "command", r.name+":", err)
 			return ExitFailed
 		}
 	}
@@ -56,22 +64,22 @@
 }
 
 func exitCode(err error) int {
-	var fe *flags.Error
-	var ee *exitError
+	var usage *flags.Error
+	var exit *ExitError
 	switch {
 	case err == nil:
 		return ExitOK
-	case errors.As(err, &fe) && fe.Type == flags.ErrHelp:
-		fmt.Println(err)
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(stdout, usage.Message)
 		return ExitOK
-	case errors.As(err, &fe):
-		fmt.Fprintln(os.Stderr, "cranberrytack:", err)
+	case errors.As(err, &usage):
+		fmt.Fprintln(stderr, usage.Message)
 		return ExitUsage
-	case errors.As(err, &ee):
-		fmt.Fprintln(os.Stderr, "cranberrytack:", err)
-		return ee.code
+	case errors.As(err, &exit):
+		fmt.Fprintln(stderr, exit.Err)
+		return exit.Code
 	default:
-		fmt.Fprintln(os.Stderr, "cranberrytack:", err)
+		fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
 }
--- a/main.go
+++ b/main.go
@@ -1,4 +1,5 @@
-// Command cranberrytack is a load balancer that runs beside each upstream.
+// Cranberrytack is a load balancer that runs as one daemon beside each
+// upstream.
 package main
 
 import (
