moves: decide data centre and version moves and explain them

First complete version of the move decisions, the sequential test, the report and their measurement.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,8 @@
 test:
 	$(GO) vet $(PKG)
 	$(GO) test -race -count=1 -timeout 8m $(PKG)
+
+# measure-moves prints figures of data centre and version moves in virtual time.
+.PHONY: measure-moves
+measure-moves:
+	$(GO) run ./cmd/measure-moves
--- /dev/null
+++ b/internal/moves/shift/describe.go
@@ -0,0 +1,18 @@
+package shift
+
+import (
+	"fmt"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/moves/trial"
+)
+
+// Describe puts the numbers behind a finding into one sentence for readers
+// without technical background.
+func Describe(f *trial.Evidence) string {
+	what := "failed"
+	if f.Metric != trial.Errors {
+		what = fmt.Sprintf("took longer than %.0f ms", float64(f.Threshold))
+	}
+	return fmt.Sprintf("on route %s, %d of %d calls to the new version %s, but only %d of %d calls to the old version at the same time",
+		f.Route, f.NewBad, f.NewCalls, what, f.OldBad, f.OldCalls)
+}
--- /dev/null
+++ b/internal/moves/shift/judges.go
@@ -0,0 +1,37 @@
+package shift
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// JudgeCount is how many daemons compare the versions of one service. They
+// work without knowing of each other; more than one is needed only so that
+// some are left when others fail.
+const JudgeCount = 3
+
+// Judges returns the members that judge a service: those with the highest
+// hash of service and member. A change of the members moves few services.
+func Judges(service string, members []string) []string {
+	type scored struct {
+		member string
+		score  uint64
+	}
+	all := make([]scored, 0, len(members))
+	for _, m := range members {
+		all = append(all, scored{member: m, score: xxhash.Sum64String(service + "\x00" + m)})
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].score != all[j].score {
+			return all[i].score > all[j].score
+		}
+		return all[i].member < all[j].member
+	})
+	n := min(JudgeCount, len(all))
+	out := make([]string, 0, n)
+	for _, s := range all[:n] {
+		out = append(out, s.member)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/moves/shift/verdict.go
@@ -0,0 +1,93 @@
+package shift
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/BurntSushi/toml"
+	"github.com/pkg/errors"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/applog"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/policy"
+)
+
+// Ruling is the final word on a version move.
+type Ruling string
+
+// The rulings.
+const (
+	RulingTakenBack Ruling = "taken_back"
+	RulingDone      Ruling = "done"
+)
+
+// Verdict is the body of a log record of kind verdict.
+type Verdict struct {
+	Move string `toml:"move"`
+	// Revision is that of the exception, so that a verdict on an earlier move
+	// with the same id does not count.
+	Revision int64       `toml:"revision"`
+	Ruling   Ruling      `toml:"ruling"`
+	Judge    string      `toml:"judge"`
+	At       clock.Milli `toml:"at_ms"`
+	Evidence string      `toml:"evidence"`
+}
+
+// ErrVerdict says that a record is no valid verdict.
+var ErrVerdict = errors.New("invalid verdict")
+
+// Record returns the log record of a verdict. Its id is the same for all
+// judges, so that several of them append one record in effect.
+func (v *Verdict) Record(base int64) (applog.Record, error) {
+	var b bytes.Buffer
+	if err := toml.NewEncoder(&b).Encode(v); err != nil {
+		return applog.Record{}, errors.Wrapf(err, "encode verdict on %s", v.Move)
+	}
+	return applog.Record{
+		ID:     fmt.Sprintf("verdict-%s-%d-%s", v.Move, v.Revision, v.Ruling),
+		Kind:   applog.KindVerdict,
+		Base:   base,
+		At:     float64(v.At),
+		Author: v.Judge,
+		Body:   b.Bytes(),
+	}, nil
+}
+
+// ParseVerdict reads the body of a record.
+func ParseVerdict(body []byte) (Verdict, error) {
+	var v Verdict
+	if err := toml.Unmarshal(body, &v); err != nil {
+		return v, errors.Wrap(ErrVerdict, err.Error())
+	}
+	switch {
+	case v.Move == "":
+		return v, errors.Wrap(ErrVerdict, "no move is named")
+	case v.Ruling != RulingTakenBack && v.Ruling != RulingDone:
+		return v, errors.Wrapf(ErrVerdict, "unknown ruling %q", v.Ruling)
+	case v.Evidence == "":
+		return v, errors.Wrap(ErrVerdict, "no evidence is given")
+	}
+	return v, nil
+}
+
+// Settle applies a verdict to the exception of its move and reports whether it
+// counted. Only the first valid verdict in the order of the log counts. The
+// fold calls it; e must not be shared.
+func Settle(e *policy.Exception, v *Verdict) bool {
+	m := e.Move
+	if m == nil || m.TakenBack || m.Done || v.Move != m.ID || v.Revision != e.Revision {
+		return false
+	}
+	settled := *m
+	switch v.Ruling {
+	case RulingTakenBack:
+		settled.TakenBack = true
+	case RulingDone:
+		settled.Done = true
+	default:
+		return false
+	}
+	settled.Evidence = v.Evidence
+	e.Move = &settled
+	return true
+}
--- /dev/null
+++ b/internal/moves/shift/wire.go
@@ -0,0 +1,89 @@
+package shift
+
+import (
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/moves/trial"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+// Sample is what a guard sends to the judges of its service.
+type Sample = trial.Sample
+
+// SampleToWire converts a sample to its message.
+func SampleToWire(s *Sample) *wire.Sample {
+	w := &wire.Sample{
+		Service: s.Service, Route: s.Route, Version: s.Version, Target: s.Target,
+		Window: s.Window, Calls: uint32(s.Calls), Errors: uint32(s.Errors), Cold: s.Cold,
+	}
+	for i, n := range s.Latency {
+		if n > 0 {
+			w.Bucket = append(w.Bucket, uint32(i))
+			w.Count = append(w.Count, uint32(n))
+		}
+	}
+	return w
+}
+
+// SampleFromWire reads a sample. It drops a sample whose counts contradict
+// each other, as it could come from a faulty daemon.
+func SampleFromWire(w *wire.Sample) (Sample, bool) {
+	s := Sample{
+		Service: w.GetService(), Route: w.GetRoute(), Version: w.GetVersion(), Target: w.GetTarget(),
+		Window: w.GetWindow(), Calls: int64(w.GetCalls()), Errors: int64(w.GetErrors()), Cold: w.GetCold(),
+	}
+	if len(w.GetBucket()) != len(w.GetCount()) || s.Errors > s.Calls {
+		return s, false
+	}
+	var total int64
+	for i, b := range w.GetBucket() {
+		if b >= trial.Buckets {
+			return s, false
+		}
+		s.Latency[b] += int64(w.GetCount()[i])
+		total += int64(w.GetCount()[i])
+	}
+	return s, total == s.Calls
+}
+
+// Notice is what daemons tell each other about a move.
+type Notice struct {
+	Move     string
+	Revision int64
+	Sender   string
+	Evidence Evidence
+	Finding  trial.Evidence
+}
+
+// NoticeToWire converts a notice to its message.
+func NoticeToWire(n *Notice) *wire.Notice {
+	f := &n.Finding
+	return &wire.Notice{
+		Move: n.Move, Revision: n.Revision, Sender: n.Sender,
+		WorseAt: float64(n.Evidence.WorseAt), ProvenAt: float64(n.Evidence.ProvenAt),
+		Finding: &wire.Finding{
+			Route: f.Route, Metric: f.Metric.String(), Value: f.Value, Needed: f.Needed,
+			OldCalls: f.OldCalls, OldBad: f.OldBad, NewCalls: f.NewCalls, NewBad: f.NewBad,
+			Threshold: float64(f.Threshold), Targets: uint32(f.Targets),
+		},
+	}
+}
+
+// NoticeFromWire reads a notice.
+func NoticeFromWire(w *wire.Notice) Notice {
+	f := w.GetFinding()
+	n := Notice{
+		Move: w.GetMove(), Revision: w.GetRevision(), Sender: w.GetSender(),
+		Evidence: Evidence{WorseAt: clock.Milli(w.GetWorseAt()), ProvenAt: clock.Milli(w.GetProvenAt())},
+		Finding: trial.Evidence{
+			Route: f.GetRoute(), Value: f.GetValue(), Needed: f.GetNeeded(),
+			OldCalls: f.GetOldCalls(), OldBad: f.GetOldBad(), NewCalls: f.GetNewCalls(), NewBad: f.GetNewBad(),
+			Threshold: clock.Milli(f.GetThreshold()), Targets: int(f.GetTargets()),
+		},
+	}
+	for m := trial.Errors; m <= trial.VerySlow; m++ {
+		if m.String() == f.GetMetric() {
+			n.Finding.Metric = m
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/moves/trial/result.go
@@ -0,0 +1,58 @@
+package trial
+
+// value returns the e-value against the new version.
+func (r *route) value(trim bool) float64 {
+	if !trim {
+		return r.worse[whole].sum()
+	}
+	return r.worse[r.least()].sum()
+}
+
+// needed returns the e-value that convicts. The bound is spread over routes
+// in the order of their appearance: the inverse weights sum up to one.
+func (r *route) needed(alpha float64) float64 {
+	return float64(r.rank*(r.rank+1)) / alpha
+}
+
+func (r *route) verdict(o Options) Verdict {
+	if r.value(o.Trim) >= r.needed(o.Alpha) {
+		return Worse
+	}
+	for m := Errors; m < metrics; m++ {
+		if r.good[m] < 1/o.Beta {
+			return None
+		}
+	}
+	return NotWorse
+}
+
+func (r *route) counts() counts {
+	return r.before.plus(&r.current)
+}
+
+func (r *route) evidence(t *Test) Evidence {
+	p := &r.worse[whole]
+	if t.opts.Trim {
+		p = &r.worse[r.least()]
+	}
+	metric, most := Errors, -1.0
+	for m := Errors; m < metrics; m++ {
+		sum := 0.0
+		for _, v := range p[m] {
+			sum += v
+		}
+		if sum > most {
+			metric, most = m, sum
+		}
+	}
+	n := r.counts()
+	e := Evidence{
+		Route: r.name, Metric: metric, Value: p.sum(), Needed: r.needed(t.opts.Alpha),
+		OldCalls: n.oldCalls, OldBad: n.oldBad[metric], NewCalls: n.newCalls, NewBad: n.newBad[metric],
+		Targets: r.groups,
+	}
+	if metric != Errors {
+		e.Threshold = BucketFloor(r.thresholds[metric])
+	}
+	return e
+}
--- /dev/null
+++ b/internal/moves/trial/route.go
@@ -0,0 +1,252 @@
+package trial
+
+import "math"
+
+const (
+	// maxGroups bounds the number of leave-one-out processes of a route.
+	maxGroups = 16
+	// whole is the process that leaves no group out.
+	whole = maxGroups
+	// blockWindows is the number of windows after which the group that is left
+	// out may change: a noisy period moves between targets within minutes.
+	blockWindows = 120
+	// histogramDecay gives the old version's histogram a horizon of 25 s.
+	histogramDecay = 0.98
+	// minHistogram is the number of old calls that fix the latency thresholds.
+	minHistogram = 100
+	// maxExponent keeps products within a float64.
+	maxExponent = 200
+	// maxValue is far above every threshold and keeps sums finite.
+	maxValue = 1e100
+)
+
+// oddsGrid holds the alternatives of the mixture as multiples of the
+// tolerated odds ratio.
+var oddsGrid = [...]float64{1.6, 3, 6, 15, 60}
+
+// slowTails are the shares of old calls above the two latency thresholds.
+var slowTails = [metrics]float64{Slow: 0.25, VerySlow: 0.03}
+
+// process holds the evidence of one route with one group left out.
+type process [metrics][len(oddsGrid)]float64
+
+func (p *process) sum() float64 {
+	total := 0.0
+	for m := range p {
+		for _, v := range p[m] {
+			total += v
+		}
+	}
+	return total
+}
+
+type counts struct {
+	oldCalls, newCalls int64
+	oldBad, newBad     [metrics]int64
+}
+
+func (c *counts) plus(d *counts) counts {
+	sum := *c
+	sum.oldCalls += d.oldCalls
+	sum.newCalls += d.newCalls
+	for m := range sum.oldBad {
+		sum.oldBad[m] += d.oldBad[m]
+		sum.newBad[m] += d.newBad[m]
+	}
+	return sum
+}
+
+type route struct {
+	name string
+	rank int
+	// first is the window in which the route appeared.
+	first      int64
+	histogram  [Buckets]float64
+	oldErrors  float64
+	thresholds [metrics]int
+	known      bool
+	worse      [maxGroups + 1]process
+	// seen marks the groups that had calls.
+	seen    [maxGroups]bool
+	groups  int
+	good    [metrics]float64
+	inBlock int
+	current counts
+	before  counts
+}
+
+func newRoute(name string, rank int, window int64) *route {
+	return &route{name: name, rank: rank, first: window}
+}
+
+// prior is the weight of a fault that begins in window i of a move of about
+// scale windows. The weights of all i sum up to 1.
+func prior(i, scale float64) float64 {
+	return scale / ((i + scale) * (i + scale + 1))
+}
+
+// close takes in one complete window.
+func (r *route) close(t *Test, w int64, p *pair) {
+	start := prior(float64(w-r.first), t.scale)
+	all := r.total(p)
+	if all.calls > 0 && p.old.calls > 0 {
+		for m := Errors; m < metrics; m++ {
+			if m == Errors || r.known {
+				r.compare(t, m, start, p, all)
+			}
+		}
+	}
+	r.remember(&p.old, all)
+	r.inBlock++
+	if r.inBlock >= blockWindows {
+		r.endBlock()
+	}
+}
+
+// total sums the groups and gives each new group the history of the whole,
+// in which it had no part.
+func (r *route) total(p *pair) *cell {
+	all := &cell{}
+	for g := range maxGroups {
+		c, ok := p.groups[g]
+		if !ok {
+			continue
+		}
+		if !r.seen[g] {
+			r.seen[g] = true
+			r.groups++
+			r.worse[g] = r.worse[whole]
+		}
+		all.calls += c.calls
+		all.errors += c.errors
+		for i, n := range c.latency {
+			all.latency[i] += n
+		}
+	}
+	return all
+}
+
+func (r *route) compare(t *Test, m Metric, start float64, p *pair, all *cell) {
+	th := r.thresholds[m]
+	oldBad, newBad := p.old.bad(m, th), all.bad(m, th)
+	r.current.oldBad[m] += oldBad
+	r.current.newBad[m] += newBad
+	odds := t.opts.SlowOdds
+	if m == Errors {
+		odds = t.opts.ErrorOdds
+	}
+	r.advance(whole, m, odds, start, p.old.calls, oldBad, all.calls, newBad)
+	for g := range maxGroups {
+		if !r.seen[g] {
+			continue
+		}
+		calls, bad := all.calls, newBad
+		if c, ok := p.groups[g]; ok {
+			calls -= c.calls
+			bad -= c.bad(m, th)
+		}
+		r.advance(g, m, odds, start, p.old.calls, oldBad, calls, bad)
+	}
+	r.advanceGood(t, m, start, p.old.calls, oldBad, all.calls, newBad)
+}
+
+// advance multiplies the evidence of one process with the likelihood ratio of
+// a window. Given the number of bad calls of both versions together, those of
+// the new version are at most binomial with the share q of its calls, raised
+// by the tolerated odds, if it is not worse. A change of the general rate has
+// no influence on that.
+func (r *route) advance(g int, m Metric, odds, start float64, oldCalls, oldBad, newCalls, newBad int64) {
+	ratio := float64(newCalls) / float64(oldCalls)
+	q := tilt(ratio, odds)
+	for i, theta := range oddsGrid {
+		v := r.worse[g][m][i] + start/float64(int(metrics)*len(oddsGrid))
+		if newCalls > 0 && oldBad+newBad > 0 {
+			a := tilt(ratio, odds*theta)
+			v *= likelihood(a, q, newBad, oldBad)
+		}
+		r.worse[g][m][i] = min(v, maxValue)
+	}
+}
+
+// advanceGood gathers evidence that the new version is not worse by the
+// margin. It uses the same weights for the window from which it counts.
+func (r *route) advanceGood(t *Test, m Metric, start float64, oldCalls, oldBad, newCalls, newBad int64) {
+	v := r.good[m] + start
+	if m == Errors {
+		base := min(r.errorRate(), 0.5)
+		margin := max(t.opts.ErrorMargin, base)
+		v *= likelihood(base, base+margin, newBad, newCalls-newBad)
+	} else if oldBad+newBad > 0 {
+		ratio := float64(newCalls) / float64(oldCalls)
+		v *= likelihood(tilt(ratio, 1), tilt(ratio, t.opts.SlowMargin), newBad, oldBad)
+	}
+	r.good[m] = min(v, maxValue)
+}
+
+// errorRate returns the old version's rate in earlier windows.
+func (r *route) errorRate() float64 {
+	total := 0.0
+	for _, n := range r.histogram {
+		total += n
+	}
+	return (r.oldErrors + 0.5) / (total + minHistogram)
+}
+
+// tilt returns the probability that a bad call is one of the new version.
+func tilt(ratio, odds float64) float64 {
+	return ratio * odds / (1 + ratio*odds)
+}
+
+// likelihood returns the ratio of the binomial probabilities under p and q.
+func likelihood(p, q float64, hits, misses int64) float64 {
+	e := float64(hits)*math.Log(p/q) + float64(misses)*math.Log((1-p)/(1-q))
+	return math.Exp(max(-maxExponent, min(maxExponent, e)))
+}
+
+// remember updates the thresholds of the next windows. They come from earlier
+// windows only, which keeps the e-values valid.
+func (r *route) remember(old, all *cell) {
+	r.current.oldCalls += old.calls
+	r.current.newCalls += all.calls
+	r.oldErrors = r.oldErrors*histogramDecay + float64(old.errors)
+	total := 0.0
+	for i := range r.histogram {
+		r.histogram[i] = r.histogram[i]*histogramDecay + float64(old.latency[i])
+		total += r.histogram[i]
+	}
+	r.known = total >= minHistogram
+	for m := Slow; m < metrics; m++ {
+		above := 0.0
+		th := Buckets
+		for th > 1 && above+r.histogram[th-1] <= total*slowTails[m] {
+			th--
+			above += r.histogram[th]
+		}
+		r.thresholds[m] = min(th, Buckets-1)
+	}
+}
+
+// endBlock lets another group be left out from now on. Each process continues
+// from the least of them, which no wrong conviction can profit from.
+func (r *route) endBlock() {
+	least := r.worse[r.least()]
+	for g := range r.worse {
+		r.worse[g] = least
+	}
+	r.before, r.current, r.inBlock = r.current, counts{}, 0
+}
+
+// least returns the process that speaks least against the new version. With
+// one group there is nothing to leave out.
+func (r *route) least() int {
+	best := whole
+	if r.groups < 2 {
+		return best
+	}
+	for g := range maxGroups {
+		if r.seen[g] && r.worse[g].sum() < r.worse[best].sum() {
+			best = g
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/moves/trial/sample.go
@@ -0,0 +1,97 @@
+// Package trial compares an old and a new version of a service while both
+// serve calls. It is deterministic and not safe for concurrent use.
+package trial
+
+import (
+	"math"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+)
+
+// WindowLength is the time that one sample covers.
+const WindowLength = 500 * clock.Millisecond
+
+// Buckets is the number of latency buckets of a sample. Bucket i holds the
+// latencies from BucketFloor(i) up to BucketFloor(i+1), the last all above.
+const Buckets = 48
+
+const (
+	// firstBucket is the upper end of bucket 0.
+	firstBucket = 0.25 * clock.Millisecond
+	// bucketGrowth resolves a slowdown of a quarter.
+	bucketGrowth = 1.25
+)
+
+// Sample is what one guard counted in one window for one route.
+type Sample struct {
+	Service string
+	Route   string
+	Version string
+	Target  string
+	// Window is the window's number since the Unix epoch.
+	Window int64
+	Calls  int64
+	Errors int64
+	// Cold says that the upstream was in cold start. Such samples are not
+	// compared, as a new version's upstreams start cold.
+	Cold    bool
+	Latency [Buckets]int64
+}
+
+// WindowAt returns the number of the window that holds now.
+func WindowAt(now clock.Milli) int64 {
+	return int64(math.Floor(float64(now / WindowLength)))
+}
+
+// Bucket returns the bucket of a latency.
+func Bucket(d clock.Milli) int {
+	if d < firstBucket {
+		return 0
+	}
+	b := 1 + int(math.Log(float64(d/firstBucket))/math.Log(bucketGrowth))
+	return min(b, Buckets-1)
+}
+
+// BucketFloor returns the least latency of a bucket.
+func BucketFloor(i int) clock.Milli {
+	if i <= 0 {
+		return 0
+	}
+	return firstBucket * clock.Milli(math.Pow(bucketGrowth, float64(i-1)))
+}
+
+// Count adds one call to the sample.
+func (s *Sample) Count(latency clock.Milli, failed bool) {
+	s.Calls++
+	if failed {
+		s.Errors++
+	}
+	s.Latency[Bucket(latency)]++
+}
+
+// cell sums samples of one route and window.
+type cell struct {
+	calls   int64
+	errors  int64
+	latency [Buckets]int64
+}
+
+func (c *cell) add(s *Sample) {
+	c.calls += s.Calls
+	c.errors += s.Errors
+	for i, n := range s.Latency {
+		c.latency[i] += n
+	}
+}
+
+// bad returns how many calls count as bad for a metric.
+func (c *cell) bad(m Metric, threshold int) int64 {
+	if m == Errors {
+		return c.errors
+	}
+	var n int64
+	for i := threshold; i < Buckets; i++ {
+		n += c.latency[i]
+	}
+	return n
+}
--- /dev/null
+++ b/internal/moves/trial/verdict.go
@@ -0,0 +1,65 @@
+package trial
+
+import "gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+
+// Metric is a property of calls that is compared.
+type Metric int
+
+// The metrics. Slow and VerySlow are the calls above a latency that about a
+// quarter and about 3% of the old version's recent calls exceed.
+//
+//go:generate ../../../bin/stringer -type Metric -linecomment
+const (
+	Errors   Metric = iota // errors
+	Slow                   // slow
+	VerySlow               // very_slow
+	metrics                // metrics
+)
+
+// Verdict is what the comparison allows to say.
+type Verdict int
+
+// The verdicts.
+//
+//go:generate ../../../bin/stringer -type Verdict -linecomment
+const (
+	None     Verdict = iota // none
+	Worse                   // worse
+	NotWorse                // not_worse
+)
+
+// Evidence holds the numbers behind a verdict.
+type Evidence struct {
+	Route  string
+	Metric Metric
+	// Value is the e-value; Needed is the value that convicts.
+	Value  float64
+	Needed float64
+	// The counts cover the last one to two minutes.
+	OldCalls int64
+	OldBad   int64
+	NewCalls int64
+	NewBad   int64
+	// Threshold is the latency above which a call counts as slow.
+	Threshold clock.Milli
+	// Targets is the number of new targets that took part.
+	Targets int
+}
+
+// RouteResult is the state of one route.
+type RouteResult struct {
+	Route    string
+	Verdict  Verdict
+	NewCalls int64
+	OldCalls int64
+}
+
+// Result is the state of the whole comparison.
+type Result struct {
+	Verdict Verdict
+	// Evidence belongs to the route that speaks most against the new version.
+	Evidence Evidence
+	Routes   []RouteResult
+	// Short lists routes with too little traffic for a conclusion.
+	Short []string
+}
