--- /dev/null
+++ b/cmd/measure-policy/main.go
@@ -0,0 +1,38 @@
+// Command measure-policy measures the decision core against baselines and a
+// central queue in virtual time, and prints key=value lines.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"strings"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/bench/model"
+)
+
+func main() {
+	seeds := flag.Int("seeds", 5, "number of seeds per scenario and policy")
+	only := flag.String("scenario", "", "run only scenarios whose name contains this")
+	policy := flag.String("policy", "", "run only policies whose name contains this")
+	jobs := flag.Int("jobs", max(1, runtime.NumCPU()/2), "number of runs at a time")
+	flag.Parse()
+	var scenarios []model.Scenario
+	for _, s := range model.Scenarios() {
+		if strings.Contains(s.Name, *only) {
+			scenarios = append(scenarios, s)
+		}
+	}
+	rows := model.Measure(scenarios, *policy, *seeds, *jobs)
+	for _, r := range rows {
+		fmt.Println(r)
+	}
+	failed := 0
+	for _, g := range model.Goals(rows) {
+		fmt.Println(g)
+		if !g.Pass {
+			failed++
+		}
+	}
+	fmt.Printf("goals_failed=%d\n", failed)
+}
--- /dev/null
+++ b/internal/bench/model/loop.go
@@ -0,0 +1,58 @@
+// Package model measures the decision core in virtual time: small fakes of
+// upstreams and entries drive the code that runs in production.
+package model
+
+import (
+	"container/heap"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+)
+
+type event struct {
+	at  clock.Milli
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].seq < e[j].seq
+}
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	(*e)[last] = event{}
+	*e = (*e)[:last]
+	return x
+}
+
+// loop runs events in the order of their time.
+type loop struct {
+	now  clock.Milli
+	seq  int
+	heap events
+}
+
+func (l *loop) after(d clock.Milli, run func()) {
+	l.seq++
+	heap.Push(&l.heap, event{at: l.now + d, seq: l.seq, run: run})
+}
+
+func (l *loop) until(end clock.Milli) {
+	for len(l.heap) > 0 && l.heap[0].at <= end {
+		e := heap.Pop(&l.heap).(event)
+		l.now = e.at
+		e.run()
+	}
+}
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -2,8 +2,11 @@
 package admit
 
 import (
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/assert"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/limit"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/ramp"
 )
 
 // Ticket is a call that asks for admission.
@@ -25,49 +28,161 @@
 	// Latency is the time from handing over to the response's first byte.
 	Latency clock.Milli
 	Failed  bool
+	// Cancelled says that the caller gave up, so the latency is not the
+	// upstream's.
+	Cancelled bool
 	// NewConnection says that the call had to open a connection.
 	NewConnection bool
 	// Epoch is what the upstream reports of its start, zero when it does not.
 	Epoch uint64
 }
 
+type running struct {
+	class   call.Class
+	started clock.Milli
+}
+
 // Admitter holds the calls of one upstream. It is not safe for concurrent use.
 type Admitter struct {
-	slots  int
-	active map[call.ID]call.Class
+	slots   int
+	limit   *limit.Limiter
+	ramp    *ramp.Ramp
+	active  map[call.ID]running
+	byClass [classes]int
+	queue   [classes]queue
+	recent  recent
+	need    need
+	leaving bool
 }
 
 // New returns an admitter for an upstream with a number of slots.
 func New(slots int) *Admitter {
-	return &Admitter{slots: slots, active: make(map[call.ID]call.Class)}
+	slots = max(1, slots)
+	return &Admitter{
+		slots:  slots,
+		limit:  limit.New(slots),
+		ramp:   ramp.New(slots),
+		active: make(map[call.ID]running, slots),
+	}
+}
+
+// Leave refuses all calls that come from now on; calls that wait are served.
+func (a *Admitter) Leave() {
+	a.leaving = true
 }
 
 // Offer asks for admission of a call.
-func (a *Admitter) Offer(_ clock.Milli, t Ticket) []Action {
-	if len(a.active) >= a.slots {
-		return []Action{{ID: t.ID, Reason: call.ReasonSlotsFull}}
+func (a *Admitter) Offer(now clock.Milli, t Ticket) []Action {
+	actions := a.expire(now, nil)
+	if r := a.barred(now, t); r != call.ReasonNone {
+		return append(actions, Action{ID: t.ID, Reason: r})
+	}
+	a.need.note(now, a.interactive(t.Class))
+	if a.queue[t.Class].empty() && a.fits(now, t.Class) {
+		return append(actions, a.admit(now, t))
+	}
+	if a.waiting() >= a.maxQueue() {
+		victim, ok := a.yield(t.Class)
+		if !ok {
+			return append(actions, Action{ID: t.ID, Reason: a.fullReason(t.Class)})
+		}
+		actions = append(actions, victim)
+	}
+	a.queue[t.Class].push(waiting{ticket: t, until: min(t.Deadline, now+a.maxWait(t.Class))})
+	return a.dispatch(now, actions)
+}
+
+// barred returns why a call is refused whatever the load is.
+func (a *Admitter) barred(now clock.Milli, t Ticket) call.Reason {
+	_, runs := a.active[t.ID]
+	switch {
+	case runs || a.queued(t.ID):
+		return call.ReasonDuplicate
+	case now >= t.Deadline:
+		return call.ReasonDeadline
+	case a.leaving:
+		return call.ReasonLeaving
+	case t.Class < 0 || t.Class >= classes:
+		return call.ReasonBadRequest
+	default:
+		return call.ReasonNone
 	}
-	a.active[t.ID] = t.Class
-	return []Action{{ID: t.ID, Admit: true}}
 }
 
 // Done takes in the end of an admitted call.
-func (a *Admitter) Done(_ clock.Milli, id call.ID, _ Result) []Action {
+func (a *Admitter) Done(now clock.Milli, id call.ID, r Result) []Action {
+	run, ok := a.active[id]
+	if !ok {
+		return nil
+	}
 	delete(a.active, id)
-	return nil
+	a.byClass[run.class]--
+	if !r.Cancelled {
+		a.learn(now, run.class, r)
+	}
+	return a.dispatch(now, a.expire(now, nil))
+}
+
+func (a *Admitter) learn(now clock.Milli, c call.Class, r Result) {
+	// A transfer lasts as long as its body takes to arrive, which says
+	// nothing of the upstream's speed.
+	if c != call.Transfer {
+		a.limit.Observe(r.Latency, r.Failed)
+		if !r.Failed {
+			a.recent.add(now, r.Latency)
+		}
+	}
+	s := ramp.Sample{
+		Latency: r.Latency, Usual: a.limit.Usual(), Failed: r.Failed,
+		NewConnection: r.NewConnection, Epoch: r.Epoch,
+	}
+	if c == call.Transfer {
+		s.Latency = a.limit.Usual()
+	}
+	a.ramp.Observe(s)
 }
 
 // Cancel removes a call that still waits for admission.
-func (a *Admitter) Cancel(clock.Milli, call.ID) []Action {
+func (a *Admitter) Cancel(now clock.Milli, id call.ID) []Action {
+	for c := range a.queue {
+		if a.queue[c].remove(id) {
+			return a.dispatch(now, a.expire(now, []Action{{ID: id, Reason: call.ReasonCancelled}}))
+		}
+	}
 	return nil
 }
 
 // Tick lets waiting calls time out.
-func (a *Admitter) Tick(clock.Milli) []Action {
-	return nil
+func (a *Admitter) Tick(now clock.Milli) []Action {
+	return a.dispatch(now, a.expire(now, nil))
+}
+
+// View reports the state of the upstream. Background calls that wait are
+// left out, as they delay nobody.
+func (a *Admitter) View(now clock.Milli) call.View {
+	return call.View{
+		Epoch:      a.ramp.Starts(),
+		InProgress: len(a.active),
+		Queued:     a.queue[call.Interactive].len() + a.queue[call.Transfer].len(),
+		Limit:      a.capacity(),
+		Slots:      a.slots,
+		Latency:    a.latency(now),
+		Cold:       a.ramp.Cold(),
+		Leaving:    a.leaving,
+	}
+}
+
+// capacity is how many calls may be in progress now.
+func (a *Admitter) capacity() int {
+	return min(a.limit.Value(), a.ramp.Allowed())
 }
 
-// View reports the state of the upstream.
-func (a *Admitter) View(clock.Milli) call.View {
-	return call.View{InProgress: len(a.active), Limit: a.slots, Slots: a.slots}
+func (a *Admitter) admit(now clock.Milli, t Ticket) Action {
+	_, twice := a.active[t.ID]
+	assert.That(!twice, assert.AtMostOnce, "id %s admitted while it runs", t.ID)
+	a.active[t.ID] = running{class: t.Class, started: now}
+	a.byClass[t.Class]++
+	assert.That(!a.ramp.Cold() || len(a.active) <= a.ramp.Allowed(), assert.ColdCapacity,
+		"%d calls in progress, ramp allows %d", len(a.active), a.ramp.Allowed())
+	return Action{ID: t.ID, Admit: true}
 }
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -3,9 +3,11 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/eject"
 )
 
 // Query describes the call that needs a target.
@@ -21,68 +23,97 @@
 
 // Choice is the picker's decision. Target is nil when there is none.
 type Choice struct {
-	Target     *call.Target
-	Reason     call.Reason
+	Target *call.Target
+	Reason call.Reason
+	// Candidates is the number of targets that were compared.
 	Candidates int
 }
 
 // Picker chooses targets of one service. It is not safe for concurrent use.
 type Picker struct {
-	rand    *rand.Rand
-	targets []*entry
-	byID    map[string]*entry
+	rand  *rand.Rand
+	opts  options
+	byID  map[string]*entry
+	group eject.Group
+	// near and far hold the targets in the own data centre and elsewhere.
+	near, far []*entry
+	centre    string
+	order     []*entry
+	mean      mean
 }
 
 type entry struct {
 	target  call.Target
+	view    call.View
+	seen    bool
 	pending int
+	// atView is pending at the time of the view.
+	atView   int
+	record   eject.Member
+	own      ownLatency
+	lastProb clock.Milli
 }
 
 // New returns a picker that draws from r.
-func New(r *rand.Rand) *Picker {
-	return &Picker{rand: r, byID: make(map[string]*entry)}
+func New(r *rand.Rand, opts ...Option) *Picker {
+	o := defaults()
+	for _, f := range opts {
+		f(&o)
+	}
+	return &Picker{rand: r, opts: o, byID: make(map[string]*entry)}
 }
 
 // Update replaces the targets and keeps what is known of those that stay.
 func (p *Picker) Update(_ clock.Milli, targets []call.Target) {
 	byID := make(map[string]*entry, len(targets))
-	p.targets = p.targets[:0]
-	for _, t := range targets {
+	p.order = p.order[:0]
+	for i := range targets {
+		t := &targets[i]
 		e, ok := p.byID[t.ID]
 		if !ok || e.target.Incarnation != t.Incarnation {
 			e = &entry{}
 		}
-		e.target = t
+		e.target = *t
 		byID[t.ID] = e
-		p.targets = append(p.targets, e)
+		p.order = append(p.order, e)
+	}
+	for id, e := range p.byID {
+		if byID[id] != e {
+			p.group.Drop(&e.record)
+		}
 	}
 	p.byID = byID
+	p.group.Resize(len(p.order))
+	p.split(p.centre)
 }
 
-// Observe takes in a guard's view.
-func (p *Picker) Observe(clock.Milli, call.View) {}
-
-// Choose picks the less loaded of two random targets.
-func (p *Picker) Choose(_ clock.Milli, q Query) Choice {
-	var best *entry
-	n := 0
-	for _, i := range p.rand.Perm(len(p.targets)) {
-		e := p.targets[i]
-		if e.target.Leaving || contains(q.Tried, e.target.ID) || (q.Allow != nil && !q.Allow(&e.target)) {
-			continue
-		}
-		n++
-		if best == nil || e.pending < best.pending {
-			best = e
-		}
-		if n == 2 {
-			break
+// split sorts the targets into those of a data centre and the others.
+func (p *Picker) split(centre string) {
+	p.centre = centre
+	p.near, p.far = p.near[:0], p.far[:0]
+	for _, e := range p.order {
+		if e.target.Centre == centre {
+			p.near = append(p.near, e)
+		} else {
+			p.far = append(p.far, e)
 		}
 	}
-	if best == nil {
-		return Choice{Reason: call.ReasonNoTarget}
+}
+
+// Observe takes in a guard's view.
+func (p *Picker) Observe(now clock.Milli, v call.View) {
+	e, ok := p.byID[v.Target]
+	if !ok || (v.Incarnation != 0 && v.Incarnation < e.target.Incarnation) {
+		return
+	}
+	if v.Taken == 0 {
+		v.Taken = now
 	}
-	return Choice{Target: &best.target, Reason: call.ReasonLocalCool, Candidates: n}
+	if e.seen && v.Taken < e.view.Taken {
+		return
+	}
+	e.view, e.seen, e.atView = v, true, e.pending
+	p.mean.observe(now, &v)
 }
 
 // Started counts a call that this entry sent to a target.
@@ -93,17 +124,134 @@
 }
 
 // Finished takes in the end of a call.
-func (p *Picker) Finished(_ clock.Milli, id string, _ call.Result) {
-	if e, ok := p.byID[id]; ok && e.pending > 0 {
-		e.pending--
+func (p *Picker) Finished(now clock.Milli, id string, r call.Result) {
+	e, ok := p.byID[id]
+	if !ok {
+		return
+	}
+	e.pending = max(0, e.pending-1)
+	switch {
+	case r.Reason == call.ReasonCancelled:
+	case r.Outcome == call.Answered && !r.Failed:
+		p.group.Observe(now, &e.record, false)
+		e.own.add(now, r.Latency)
+		p.mean.latency(r.Latency)
+	case failed(&r):
+		p.group.Observe(now, &e.record, true)
+	}
+	if r.View != nil {
+		p.Observe(now, *r.View)
+	}
+}
+
+// failed reports whether a result speaks against the target. A refusal for
+// load does not: the view that comes with it says what there is to say.
+func failed(r *call.Result) bool {
+	if r.Outcome != call.NotRun {
+		return true
 	}
+	switch r.Reason {
+	case call.ReasonDialFailed, call.ReasonLinkFailed, call.ReasonLinkBroken, call.ReasonUpstreamFailed:
+		return true
+	default:
+		return false
+	}
+}
+
+// Choose compares some random targets of the own data centre and of the
+// others, and takes the one with the least expected cost.
+func (p *Picker) Choose(now clock.Milli, q Query) Choice {
+	if q.Centre != p.centre {
+		p.split(q.Centre)
+	}
+	var b best
+	b.offer(p.sample(now, &q, p.near, p.opts.near, &b))
+	near := b.count
+	b.offer(p.sample(now, &q, p.far, p.opts.far, &b))
+	if b.entry == nil {
+		return p.fallback(now, &q)
+	}
+	return Choice{Target: &b.entry.target, Reason: p.reason(now, &b, near), Candidates: b.count}
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
+// sample scores up to d random targets of a list.
+func (p *Picker) sample(now clock.Milli, q *Query, list []*entry, d int, b *best) (*entry, clock.Milli) {
+	n := len(list)
+	if n == 0 {
+		return nil, 0
+	}
+	var taken *entry
+	var cost clock.Milli
+	// A stride that visits every target once keeps the draws distinct.
+	at, stride := p.rand.IntN(n), 1
+	if n > 2 {
+		stride = 1 + p.rand.IntN(n-1)
+		for gcd(stride, n) != 1 {
+			stride = 1 + stride%(n-1)
 		}
 	}
-	return false
+	for i := 0; i < n && d > 0; i++ {
+		e := list[at]
+		at += stride
+		if at >= n {
+			at -= n
+		}
+		if !usable(q, e) {
+			continue
+		}
+		w := p.group.Weight(now, &e.record)
+		if w == 0 || (w < 1 && p.rand.Float64() >= w) {
+			b.skipped++
+			continue
+		}
+		d--
+		b.count++
+		c := p.cost(now, q, e)
+		if taken == nil || c < cost {
+			taken, cost = e, c
+		}
+	}
+	return taken, cost
+}
+
+func usable(q *Query, e *entry) bool {
+	return !e.target.Leaving && (!e.seen || !e.view.Leaving) &&
+		!slices.Contains(q.Tried, e.target.ID) &&
+		(q.Allow == nil || q.Allow(&e.target))
+}
+
+// fallback takes the target that fails least when all are ejected.
+func (p *Picker) fallback(now clock.Milli, q *Query) Choice {
+	var b best
+	for _, e := range p.order {
+		if usable(q, e) {
+			b.count++
+			b.offer(e, p.cost(now, q, e))
+		}
+	}
+	if b.entry == nil {
+		return Choice{Reason: call.ReasonNoTarget}
+	}
+	return Choice{Target: &b.entry.target, Reason: call.ReasonEjected, Candidates: b.count}
+}
+
+// best is the cheapest target so far.
+type best struct {
+	entry   *entry
+	cost    clock.Milli
+	count   int
+	skipped int
+}
+
+func (b *best) offer(e *entry, cost clock.Milli) {
+	if e != nil && (b.entry == nil || cost < b.cost) {
+		b.entry, b.cost = e, cost
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
 }
--- /dev/null
+++ b/internal/core/probe/probe_test.go
@@ -0,0 +1,50 @@
+package probe_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/probe"
+)
+
+// Guards against an upstream that is probed beyond its budget in any window,
+// whoever asks.
+func TestUpstreamBudgetHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := rapid.IntRange(1, 20).Draw(t, "budget")
+		u := probe.NewUpstream(budget)
+		now := clock.Milli(1)
+		var served []clock.Milli
+		for range rapid.IntRange(1, 300).Draw(t, "asks") {
+			now += clock.Milli(rapid.Float64Range(0, 200).Draw(t, "gap"))
+			if u.Take(now) {
+				served = append(served, now)
+			}
+		}
+		for i, from := range served {
+			n := 0
+			for _, at := range served[i:] {
+				if at < from+probe.Window {
+					n++
+				}
+			}
+			if n > budget {
+				t.Fatalf("%d probes within a window, budget %d", n, budget)
+			}
+		}
+	})
+}
+
+// Guards against a requester that sends more than its rate and burst allow.
+func TestRequesterHoldsItsRate(t *testing.T) {
+	g := NewWithT(t)
+	r := probe.NewRequester(0, probe.Rate)
+	g.Expect(r.Take(0)).To(BeFalse())
+	for now := clock.Milli(0); now < 10*clock.Second; now++ {
+		r.Take(now)
+	}
+	g.Expect(r.Sent()).To(BeNumerically("~", 10*probe.Rate, probe.Burst))
+}
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -1,4 +1,5 @@
-// Package retry decides whether a call is tried again.
+// Package retry decides whether a call is tried again, and when a second
+// attempt is started beside a slow first one.
 package retry
 
 import (
@@ -23,43 +24,125 @@
 	Reason call.Reason
 	// Delay is how long to wait before the next attempt.
 	Delay clock.Milli
+	// Final says that no level above may retry either: this level decided
+	// the call's retries, whether it spent one or refused one.
+	Final bool
 }
 
-// MaxAttempts bounds the attempts of one call.
-const MaxAttempts = 3
+const (
+	// MaxAttempts bounds the attempts of one call.
+	MaxAttempts = 3
+	// Share is what each first attempt earns of a further attempt. With the
+	// reserve it keeps the attempts per call under 1.1.
+	Share = 0.08
+	// MaxTokens bounds what is saved up for a burst of failures.
+	MaxTokens = 20
+	// reserve lets a service with few calls retry at all: this many tokens
+	// at the start, regained at reserveRate per second.
+	reserve     = 2
+	reserveRate = 0.05
+	// hedgeFloor is the share of tokens that hedges leave for retries.
+	hedgeFloor = MaxTokens / 2
+	// refusalLimit is the share of refused attempts from which on hedges
+	// would add to an overload.
+	refusalLimit = 0.02
+	smooth       = 0.02
+)
 
 // Policy holds the retry budget of one service. It is not safe for
 // concurrent use.
-type Policy struct{}
+type Policy struct {
+	tokens  float64
+	last    clock.Milli
+	refused float64
+	tail    tail
+}
 
 // New returns a policy.
 func New() *Policy {
-	return &Policy{}
+	return &Policy{tokens: reserve}
 }
 
 // First counts the first attempt of a call.
-func (p *Policy) First(clock.Milli) {}
+func (p *Policy) First(now clock.Milli) {
+	if p.last != 0 && now > p.last && p.tokens < reserve {
+		p.tokens = min(reserve, p.tokens+reserveRate*float64((now-p.last)/clock.Second))
+	}
+	p.last = now
+	p.tokens = min(MaxTokens, p.tokens+Share)
+}
 
-// Decide says whether a call is tried again.
+// Decide says whether a call is tried again. It is asked once for every
+// attempt that ended.
 func (p *Policy) Decide(now clock.Milli, a Attempt) Verdict {
-	switch {
-	case a.Result.Outcome == call.Answered:
+	p.learn(a)
+	if a.Result.Outcome == call.Answered && !a.Result.Failed {
 		return Verdict{}
-	case a.Result.Outcome == call.Unknown && !a.Request.Repeatable:
-		return Verdict{Reason: call.ReasonMayNotRepeat}
+	}
+	if r := refusal(now, a); r != call.ReasonNone {
+		return Verdict{Reason: r, Final: a.Request.Retried || a.Number > 1}
+	}
+	if p.tokens < 1 {
+		return Verdict{Reason: call.ReasonRetryBudget, Final: true}
+	}
+	p.tokens--
+	return Verdict{Retry: true, Reason: call.ReasonRetry, Final: true}
+}
+
+// refusal returns why an attempt must not be followed by another one, apart
+// from the budget.
+func refusal(now clock.Milli, a Attempt) call.Reason {
+	switch {
+	case a.Result.Outcome != call.NotRun && !a.Request.Repeatable:
+		return call.ReasonMayNotRepeat
+	case a.Request.Retried || a.Result.Reason == call.ReasonRetriedBelow:
+		return call.ReasonRetriedBelow
 	case now >= a.Request.Deadline:
-		return Verdict{Reason: call.ReasonDeadline}
+		return call.ReasonDeadline
+	case a.Result.Reason == call.ReasonCancelled:
+		return call.ReasonCancelled
 	case a.Number >= MaxAttempts:
-		return Verdict{Reason: call.ReasonRetryBudget}
+		return call.ReasonRetryBudget
 	default:
-		return Verdict{Retry: true}
+		return call.ReasonNone
+	}
+}
+
+func (p *Policy) learn(a Attempt) {
+	x := 0.0
+	if a.Result.Outcome == call.NotRun {
+		x = 1
+	}
+	p.refused += smooth * (x - p.refused)
+	if a.Result.Outcome == call.Answered && !a.Result.Failed {
+		p.tail.add(a.Result.Latency)
 	}
 }
 
 // HedgeAfter returns how long after its start an attempt may be hedged.
-func (p *Policy) HedgeAfter(clock.Milli, Attempt) (clock.Milli, bool) {
-	return 0, false
+func (p *Policy) HedgeAfter(now clock.Milli, a Attempt) (clock.Milli, bool) {
+	r := a.Request
+	if !r.Repeatable || r.Retried || a.Number > 1 || r.Class != call.Interactive {
+		return 0, false
+	}
+	if p.refused > refusalLimit || p.tokens < hedgeFloor {
+		return 0, false
+	}
+	after, ok := p.tail.value()
+	if !ok || now+after >= r.Deadline {
+		return 0, false
+	}
+	return after, true
+}
+
+// MayHedge reports whether the budget still allows a hedge that was planned
+// earlier. It is asked when the hedge is due, as other calls may have spent
+// the tokens since.
+func (p *Policy) MayHedge() bool {
+	return p.tokens >= hedgeFloor && p.refused <= refusalLimit
 }
 
 // Hedged counts a hedge.
-func (p *Policy) Hedged(clock.Milli) {}
+func (p *Policy) Hedged(clock.Milli) {
+	p.tokens--
+}
--- /dev/null
+++ b/internal/core/retry/retry_test.go
@@ -0,0 +1,115 @@
+package retry_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/retry"
+)
+
+// Guards against attempts that may run a request twice, that repeat what a
+// lower level repeated, or that come too late.
+func TestDecideStops(t *testing.T) {
+	refused := call.Result{Outcome: call.NotRun, Reason: call.ReasonQueueFull}
+	lost := call.Result{Outcome: call.Unknown, Reason: call.ReasonLinkBroken}
+	cases := map[string]struct {
+		request call.Request
+		result  call.Result
+		number  int
+		retry   bool
+		reason  call.Reason
+	}{
+		"answered":                {call.Request{}, call.Result{Outcome: call.Answered}, 1, false, call.ReasonNone},
+		"refused, not repeatable": {call.Request{}, refused, 1, true, call.ReasonRetry},
+		"lost, not repeatable":    {call.Request{}, lost, 1, false, call.ReasonMayNotRepeat},
+		"lost, repeatable":        {call.Request{Repeatable: true}, lost, 1, true, call.ReasonRetry},
+		"failed, not repeatable":  {call.Request{}, call.Result{Outcome: call.Answered, Failed: true}, 1, false, call.ReasonMayNotRepeat},
+		"retried below":           {call.Request{Retried: true}, refused, 1, false, call.ReasonRetriedBelow},
+		"last attempt":            {call.Request{}, refused, retry.MaxAttempts, false, call.ReasonRetryBudget},
+		"past the deadline":       {call.Request{Deadline: 5}, refused, 1, false, call.ReasonDeadline},
+		"cancelled":               {call.Request{}, call.Result{Outcome: call.NotRun, Reason: call.ReasonCancelled}, 1, false, call.ReasonCancelled},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			if c.request.Deadline == 0 {
+				c.request.Deadline = 1000
+			}
+			v := retry.New().Decide(10, retry.Attempt{Request: &c.request, Result: c.result, Number: c.number})
+			g.Expect(v.Retry).To(Equal(c.retry))
+			g.Expect(v.Reason).To(Equal(c.reason))
+		})
+	}
+}
+
+// Guards against attempts beyond the budget: whatever the results are, they
+// stay under 1.1 per call, the reserve of two attempts aside.
+func TestBudgetBoundsAttempts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := retry.New()
+		now, calls, more := clock.Milli(1), 0, 0
+		for range rapid.IntRange(50, 500).Draw(t, "calls") {
+			now += clock.Milli(rapid.Float64Range(0, 20).Draw(t, "gap"))
+			calls++
+			p.First(now)
+			r := call.Request{Repeatable: true, Deadline: now + 1000}
+			for number := 1; ; number++ {
+				x := call.Result{Outcome: call.Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")), Latency: 10}
+				if _, ok := p.HedgeAfter(now, retry.Attempt{Request: &r, Number: number}); ok && p.MayHedge() {
+					p.Hedged(now)
+					more++
+				}
+				if !p.Decide(now, retry.Attempt{Request: &r, Result: x, Number: number}).Retry {
+					break
+				}
+				more++
+			}
+			if limit := 0.1*float64(calls) + 2; float64(more) > limit {
+				t.Fatalf("%d further attempts for %d calls, limit %v", more, calls, limit)
+			}
+		}
+	})
+}
+
+// Guards against amplification that multiplies in deep chains: when the
+// lowest level refuses everything, only the level above it tries again.
+func TestChainsDoNotMultiplyAttempts(t *testing.T) {
+	g := NewWithT(t)
+	const roots = 20_000
+	levels := make([]*retry.Policy, call.MaxDepth)
+	for i := range levels {
+		levels[i] = retry.New()
+	}
+	attempts := make([]int, call.MaxDepth+1)
+	now := clock.Milli(1)
+	var serve func(depth int) (refused, final bool)
+	serve = func(depth int) (bool, bool) {
+		attempts[depth]++
+		if depth == call.MaxDepth {
+			return true, false
+		}
+		r := call.Request{Repeatable: true, Deadline: now + 1000, Depth: depth}
+		levels[depth].First(now)
+		for number := 1; ; number++ {
+			refused, below := serve(depth + 1)
+			r.Retried = r.Retried || below
+			v := levels[depth].Decide(now, retry.Attempt{
+				Request: &r, Number: number, Result: call.Result{Outcome: call.NotRun, Reason: call.ReasonQueueFull},
+			})
+			if !v.Retry {
+				return refused, v.Final || below
+			}
+		}
+	}
+	for range roots {
+		now++
+		serve(0)
+	}
+	for depth, n := range attempts {
+		g.Expect(float64(n)/roots).To(BeNumerically("<=", 1.1), "depth %d", depth)
+	}
+}
