--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 # Tests listed in KNOWN-RED.txt as "test: TestName" are printed and not run.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 
-.PHONY: all build tools generate fmt lint test demo
+.PHONY: all build tools generate fmt lint test demo measure-policy
 
 all: build
 
@@ -48,8 +48,13 @@
 =======
 	$(GO) test -race -count=1 -timeout 8m $(PKG)
 
+<<<<<<< HEAD
 # measure-moves prints figures of data centre and version moves in virtual time.
 .PHONY: measure-moves
 measure-moves:
 	$(GO) run ./cmd/measure-moves
 >>>>>>> moves
+=======
+measure-policy:
+	$(GO) run ./cmd/measure-policy
+>>>>>>> core
