daemon: connect configuration, moves and reports

The daemon follows the log, runs the decisions about moves, sends samples to the judges of its service and answers explain. cmd/demo plays the association's deployment; it does not pass yet, as moves of a data centre are refused by the configuration documents.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 # Tests listed in KNOWN-RED.txt as "test: TestName" are printed and not run.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 
-.PHONY: all build tools generate fmt lint test demo measure-policy
+.PHONY: all build tools generate fmt lint test demo measure-policy measure-moves
 
 all: build
 
@@ -40,21 +40,15 @@
 test:
 	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, not run: $(KNOWN_RED)"; cat KNOWN-RED.txt; fi
 	$(GO) vet $(PKG)
-<<<<<<< HEAD
 	$(GO) test -race -count=1 -timeout 8m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(PKG)
 
 demo: build
 	$(BIN)/demo -bin $(BIN)
-=======
-	$(GO) test -race -count=1 -timeout 8m $(PKG)
 
-<<<<<<< HEAD
-# measure-moves prints figures of data centre and version moves in virtual time.
-.PHONY: measure-moves
-measure-moves:
-	$(GO) run ./cmd/measure-moves
->>>>>>> moves
-=======
+# Decisions under load and faults, in virtual time.
 measure-policy:
 	$(GO) run ./cmd/measure-policy
->>>>>>> core
+
+# Data centre and version moves, in virtual time.
+measure-moves:
+	$(GO) run ./cmd/measure-moves
--- /dev/null
+++ b/cmd/demo/check.go
@@ -0,0 +1,235 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/admin/server"
+	upstream "gitlab.com/cranberrytack/cranberrytack/internal/stand/server"
+)
+
+// spoil makes an upstream fail a part of its requests.
+func (s *story) spoil(ctx context.Context, n *node) error {
+	b, err := json.Marshal(upstream.Faults{FailRate: brokenPortion})
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		resp, err := http.Post("http://"+n.upstream+"/faults", "application/json", bytes.NewReader(b))
+		if err == nil {
+			_ = resp.Body.Close()
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return errors.Errorf("upstream %s did not start", n.name)
+}
+
+// waitMembers waits until the first daemon knows a number of members.
+func (s *story) waitMembers(ctx context.Context, want int) error {
+	for ctx.Err() == nil {
+		var page server.Page[server.Member]
+		if s.read(ctx, s.world.nodes[0], "/v1/members", &page) == nil && len(page.Items) >= want {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return errors.Errorf("the daemons did not find each other, want %d members", want)
+}
+
+func (s *story) read(ctx context.Context, n *node, path string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.admin+path, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+s.world.token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+// finish prints the report and checks every promise.
+func (s *story) finish(ctx context.Context) error {
+	report, err := s.world.operate(ctx, s.world.nodes[2], "explain", "--last", "5m")
+	if err != nil {
+		return err
+	}
+	s.report = report
+	fmt.Println(report)
+	var exceptions server.Page[server.Exception]
+	if err := s.read(ctx, s.world.nodes[3], "/v1/exceptions", &exceptions); err != nil {
+		return errors.Wrap(err, "read exceptions")
+	}
+	runs, err := s.runs(ctx)
+	if err != nil {
+		return err
+	}
+	var problems []string
+	problems = append(problems, s.checkAnswers()...)
+	problems = append(problems, s.checkRuns(runs)...)
+	problems = append(problems, s.checkCentre(runs)...)
+	problems = append(problems, s.checkMoves(exceptions.Items)...)
+	problems = append(problems, s.world.stopDaemons()...)
+	s.say("all daemons were stopped")
+	if len(problems) > 0 {
+		return errors.New(strings.Join(problems, "\n"))
+	}
+	return nil
+}
+
+// runs returns what each upstream ran.
+func (s *story) runs(ctx context.Context) (map[*node][]upstream.Run, error) {
+	out := make(map[*node][]upstream.Run)
+	for _, n := range s.world.nodes {
+		var runs []upstream.Run
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.upstream+"/runs", nil)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return nil, errors.Wrap(err, n.name)
+		}
+		err = json.NewDecoder(resp.Body).Decode(&runs)
+		_ = resp.Body.Close()
+		if err != nil {
+			return nil, errors.Wrap(err, n.name)
+		}
+		out[n] = runs
+	}
+	return out, nil
+}
+
+// checkAnswers prints what callers were told and checks that each answer is
+// whole and its own.
+func (s *story) checkAnswers() []string {
+	var problems []string
+	counts := make(map[string]int)
+	var took []time.Duration
+	for _, c := range s.traffic.all {
+		counts[fmt.Sprintf("%s_%d_%s_%s", strings.ReplaceAll(c.kind, " ", "_"), c.status, c.outcome, c.reason)]++
+		if c.problem != "" {
+			problems = append(problems, fmt.Sprintf("%s %s: %s", c.kind, c.path, c.problem))
+		}
+		if c.kind == "lookup" {
+			took = append(took, c.took)
+		}
+	}
+	for _, k := range sortedKeys(counts) {
+		fmt.Printf("calls_%s=%d\n", strings.TrimSuffix(k, "_"), counts[k])
+	}
+	sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+	if len(took) > 0 {
+		fmt.Printf("lookup_p50_ms=%.2f\nlookup_p99_ms=%.2f\n", ms(took[len(took)/2]), ms(took[len(took)*99/100]))
+	}
+	return head(problems)
+}
+
+// checkRuns compares what callers were told with what the upstreams ran.
+func (s *story) checkRuns(runs map[*node][]upstream.Run) []string {
+	ran := make(map[string]int)
+	for _, rs := range runs {
+		for _, r := range rs {
+			ran[r.Request]++
+		}
+	}
+	var problems []string
+	for _, c := range s.traffic.all {
+		n := ran[c.request]
+		switch {
+		case c.outcome == "not_run" && n > 0:
+			problems = append(problems, fmt.Sprintf("%s %s was reported as not run and ran %d times", c.kind, c.path, n))
+		case c.kind == "booking" && n > 1:
+			problems = append(problems, fmt.Sprintf("booking %s ran %d times", c.path, n))
+		case c.status == http.StatusOK && n == 0:
+			problems = append(problems, fmt.Sprintf("%s %s was answered and never ran", c.kind, c.path))
+		}
+	}
+	return head(problems)
+}
+
+// checkCentre checks that the data centre that was out got no new work.
+func (s *story) checkCentre(runs map[*node][]upstream.Run) []string {
+	from := float64(s.outAt.Add(moveGrace).UnixMilli())
+	to := float64(s.backAt.UnixMilli())
+	late, after, last := 0, 0, 0.0
+	for n, rs := range runs {
+		for _, r := range rs {
+			if n.centre != outCentre {
+				continue
+			}
+			switch {
+			case r.At > from && r.At < to:
+				late++
+			case r.At > to:
+				after++
+			case r.At > float64(s.outAt.UnixMilli()):
+				last = max(last, r.At-float64(s.outAt.UnixMilli()))
+			}
+		}
+	}
+	fmt.Printf("centre_out_last_new_work_ms=%.0f\ncentre_out_late_calls=%d\ncentre_back_calls=%d\n", last, late, after)
+	var problems []string
+	if late > 0 {
+		problems = append(problems, fmt.Sprintf("%d calls began in %s while it was out", late, outCentre))
+	}
+	if after == 0 {
+		problems = append(problems, outCentre+" got no calls after its return")
+	}
+	if !strings.Contains(s.report, "done") {
+		problems = append(problems, "the report does not say that the move was done")
+	}
+	return problems
+}
+
+// checkMoves checks that the good version is in place and the bad one gone.
+func (s *story) checkMoves(list []server.Exception) []string {
+	found := map[string]string{}
+	for _, e := range list {
+		if e.Move != nil {
+			found[e.ID] = e.Move.State
+		}
+	}
+	fmt.Printf("good_version=%s\nbad_version=%s\n", found[goodMoveID], found[badMoveID])
+	var problems []string
+	if found[goodMoveID] != "done" {
+		problems = append(problems, "the good version was not completed in time")
+	}
+	if found[badMoveID] != "taken_back" {
+		problems = append(problems, "the bad version was not taken back")
+	}
+	return problems
+}
+
+func sortedKeys(m map[string]int) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func ms(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
+// head bounds a list of problems.
+func head(problems []string) []string {
+	const most = 10
+	if len(problems) > most {
+		return append(problems[:most], fmt.Sprintf("and %d more", len(problems)-most))
+	}
+	return problems
+}
--- /dev/null
+++ b/cmd/demo/main.go
@@ -0,0 +1,50 @@
+// Command demo runs the deployment of Cranberrytack Mesh for Reset Crew
+// Services on loopback and checks what the system promises.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// limit ends a demo that hangs.
+const limit = 58 * time.Second
+
+type options struct {
+	Bin     string `long:"bin" default:"bin" description:"directory of the programs"`
+	Keep    string `long:"keep" description:"directory to keep the logs of all processes in"`
+	Verbose bool   `long:"verbose" description:"print the log file of each process that failed"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := run(ctx, o); err != nil {
+		fmt.Println("result=failed")
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+	fmt.Println("result=ok")
+}
+
+func run(ctx context.Context, o options) error {
+	w, err := newWorld(o)
+	if err != nil {
+		return err
+	}
+	defer w.close()
+	s := &story{world: w, began: time.Now()}
+	return s.run(ctx)
+}
--- a/internal/base/config/config.go
+++ b/internal/base/config/config.go
@@ -18,6 +18,8 @@
 	Limits Limits `toml:"limits"`
 	Stop   Stop   `toml:"stop"`
 	Output Output `toml:"output"`
+	Admin  Admin  `toml:"admin"`
+	Moves  Moves  `toml:"moves"`
 }
 
 // ValueError says which setting is wrong and what is allowed.
@@ -61,6 +63,7 @@
 		Limits: defaultLimits(),
 		Stop:   defaultStop(),
 		Output: defaultOutput(),
+		Moves:  defaultMoves(),
 	}
 }
 
@@ -84,7 +87,7 @@
 	for _, key := range meta.Undecoded() {
 		ck.errors = append(ck.errors, errors.Errorf("%s: unknown key %s", file, key))
 	}
-	for _, s := range []section{&c.Node, &c.Listen, &c.Log, &c.Limits, &c.Stop, &c.Output} {
+	for _, s := range []section{&c.Node, &c.Listen, &c.Log, &c.Limits, &c.Stop, &c.Output, &c.Admin, &c.Moves} {
 		s.check(ck)
 	}
 	return c, ck.err()
--- a/internal/node/daemon/announcer.go
+++ b/internal/node/daemon/announcer.go
@@ -44,6 +44,17 @@
 	return a.run(ctx)
 }
 
+// Members implements Membership.
+func (a *announcer) Members() []call.Target {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	out := make([]call.Target, 0, len(a.targets))
+	for _, t := range a.targets {
+		out = append(out, t)
+	}
+	return out
+}
+
 // Targets implements entry.Roster.
 func (a *announcer) Targets(service string) []call.Target {
 	a.mu.RLock()
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -12,14 +12,19 @@
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/admin/report"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/assert"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/config"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/applog"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/follow"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/moves/centre"
+	"gitlab.com/cranberrytack/cranberrytack/internal/moves/shift"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/entry"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/guard"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
 
 // ErrListen says that an address of the settings can't be used.
@@ -27,19 +32,21 @@
 
 // Daemon is one running daemon.
 type Daemon struct {
-	cfg    config.Config
-	log    zerolog.Logger
-	clock  clock.Clock
-	self   call.Target
-	pool   *link.Pool
-	guard  *guard.Guard
-	entry  *entry.Entry
-	peers  *peerServer
-	public *httpServer
-	admin  *httpServer
-	ready  readiness
-	roster *announcer
-	rules  *rules
+	cfg     config.Config
+	log     zerolog.Logger
+	clock   clock.Clock
+	self    call.Target
+	pool    *link.Pool
+	guard   *guard.Guard
+	entry   *entry.Entry
+	peers   *peerServer
+	public  *httpServer
+	admin   *httpServer
+	ready   readiness
+	fleet   *announcer
+	conf    *follow.Follower
+	mover   *mover
+	explain *explainer
 }
 
 // New builds a daemon and opens its listeners.
@@ -49,17 +56,66 @@
 	assert.SetLogger(log)
 	id := link.Identity{Fleet: cfg.Node.Fleet, Member: d.self.ID, Incarnation: d.self.Incarnation}
 	d.pool = link.NewPool(id, clk)
-	d.rules = newRules(d.self)
-	d.roster = newAnnouncer(applog.NewHTTP(cfg.Log.URL), d.self, clk, log)
-	d.guard = guard.New(d.self, cfg.Listen.Upstream, clk, guard.WithLogger(log), guard.WithGate(d.rules.gate))
-	d.entry = entry.New(d.self, clk, d.pool, d.roster, d.rules, entry.WithLogger(log))
-	server := link.NewServer(id, clk, link.WithLogger(log), link.WithCalls(d.guard.Handle), link.WithMaxSessions(cfg.Limits.Peers))
-	d.peers = &peerServer{server: server}
+	logs := applog.NewHTTP(cfg.Log.URL)
+	d.fleet = newAnnouncer(logs, d.self, clk, log)
+	d.conf = follow.New(logs, d.confPeers, func(o *follow.Options) {
+		o.Member, o.Clock, o.Logger = d.self.ID, clk, log
+	})
+	d.explain = &explainer{daemon: d, store: report.NewStore(clk.Now(), report.Options{})}
+	d.build()
+	d.peers = &peerServer{server: link.NewServer(id, clk, d.handlers()...)}
 	d.public = newPublicServer(cfg, d.entry)
 	d.admin = newAdminServer(cfg, d)
 	return d, d.listen()
 }
 
+// build makes the path of a call and the moves that rule it.
+func (d *Daemon) build() {
+	rules := newRules(d.self, d.conf.Config)
+	counts := newCounts(d.self, d.clock.Now())
+	d.guard = guard.New(d.self, d.cfg.Listen.Upstream, d.clock,
+		guard.WithLogger(d.log), guard.WithGate(rules.check), guard.WithStarted(rules.started),
+		guard.WithSample(func(s guard.Sample) { counts.add(d.clock.Now(), s, d.guard.View().Cold) }))
+	d.entry = entry.New(d.self, d.clock, d.pool, d.fleet, rules, entry.WithLogger(d.log), entry.WithRecord(d.explain.record))
+	d.mover = &mover{
+		self: d.self, clock: d.clock, log: d.log, pool: d.pool, conf: d.conf, fleet: d.fleet,
+		guard: d.guard, counts: counts, rules: rules, store: d.explain.store,
+		sending: make(chan struct{}, sendAtOnce),
+		centres: centre.New(centre.WithRamp(d.cfg.Moves.Ramp)), shifts: shift.New(d.self.ID),
+		known: make(map[string]bool), loads: make(map[string]*wire.StatusReply), seen: newHistory(),
+	}
+	d.conf.Subscribe(d.mover.configure)
+}
+
+// handlers connects the peer port with the parts of the daemon.
+func (d *Daemon) handlers() []link.ServerOption {
+	return []link.ServerOption{
+		link.WithLogger(d.log),
+		link.WithMaxSessions(d.cfg.Limits.Peers),
+		link.WithCalls(d.guard.Handle),
+		link.WithControl(wire.ControlKind_CONTROL_KIND_REVISIONS, answer(d.exchange)),
+		link.WithControl(wire.ControlKind_CONTROL_KIND_REPORT, answer(d.explain.answer)),
+		link.WithControl(wire.ControlKind_CONTROL_KIND_STATUS, answer(d.mover.status)),
+		link.WithControl(wire.ControlKind_CONTROL_KIND_EVIDENCE, answer(d.mover.evidence)),
+	}
+}
+
+func (d *Daemon) exchange(_ context.Context, m *wire.ConfExchange) (*wire.ConfReply, error) {
+	return d.conf.Handle(m)
+}
+
+// confPeers returns the members that configuration is exchanged with.
+func (d *Daemon) confPeers() []follow.Peer {
+	members := d.fleet.Members()
+	out := make([]follow.Peer, 0, len(members))
+	for _, t := range members {
+		if t.ID != d.self.ID {
+			out = append(out, peer{pool: d.pool, id: t.ID})
+		}
+	}
+	return out
+}
+
 // target describes the daemon's own upstream.
 func target(cfg config.Config, now clock.Milli) call.Target {
 	return call.Target{
@@ -98,7 +154,7 @@
 		EventHook: func(e suture.Event) { d.log.Warn().Str("detail", e.String()).Msg("supervisor") },
 		Timeout:   time.Second,
 	})
-	for _, s := range []suture.Service{d.peers, d.public, d.admin, d.guard, d.roster} {
+	for _, s := range []suture.Service{d.peers, d.public, d.admin, d.guard, d.fleet, d.conf, d.mover} {
 		sup.Add(s)
 	}
 	runCtx, cancel := context.WithCancel(context.Background())
--- a/internal/node/daemon/rules.go
+++ b/internal/node/daemon/rules.go
@@ -6,42 +6,62 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/policy"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/moves/centre"
+	"gitlab.com/cranberrytack/cranberrytack/internal/moves/shift"
 )
 
-// rules applies the configuration in force to calls.
+// rules applies the configuration in force and the moves to calls. The gate
+// and the table are immutable and replaced as a whole.
 type rules struct {
 	self   call.Target
-	config atomic.Pointer[policy.Config]
+	config func() *policy.Config
+	gate   atomic.Pointer[centre.Gate]
+	table  atomic.Pointer[shift.Table]
 }
 
-func newRules(self call.Target) *rules {
-	r := &rules{self: self}
-	r.config.Store(&policy.Config{})
+func newRules(self call.Target, config func() *policy.Config) *rules {
+	r := &rules{self: self, config: config}
+	r.gate.Store(centre.New().Gate())
+	r.table.Store(&shift.Table{})
 	return r
 }
 
 // Config implements entry.Rules.
 func (r *rules) Config() *policy.Config {
-	return r.config.Load()
+	return r.config()
 }
 
 // Allow implements entry.Rules.
-func (r *rules) Allow(now clock.Milli, _ *call.Request) (func(*call.Target) bool, call.Reason) {
-	c := r.Config()
-	if len(c.Exceptions) == 0 {
+func (r *rules) Allow(now clock.Milli, req *call.Request) (func(*call.Target) bool, call.Reason) {
+	if len(r.Config().Exceptions) == 0 {
 		return nil, call.ReasonNone
 	}
+	gate, table := r.gate.Load(), r.table.Load()
+	reason := call.ReasonVersionShare
+	if _, out := gate.Out(now, r.self.Centre); out {
+		reason = call.ReasonCentreOut
+	}
 	allow := func(t *call.Target) bool {
-		_, out := c.CentreOut(t.Centre, now)
-		return !out
+		return gate.Allow(now, t.Centre, req.ID) && table.Allow(t.Service, t.Version, req.ID)
 	}
-	return allow, call.ReasonCentreOut
+	return allow, reason
 }
 
-// gate implements guard.Gate.
-func (r *rules) gate(now clock.Milli, _ *call.Request) call.Reason {
-	if _, out := r.Config().CentreOut(r.self.Centre, now); out {
+// check implements guard.Gate. The guard refuses by itself what entries that
+// have not heard of a change still send.
+func (r *rules) check(now clock.Milli, req *call.Request) call.Reason {
+	gate := r.gate.Load()
+	if _, out := gate.Out(now, r.self.Centre); out {
 		return call.ReasonCentreOut
 	}
+	if req.Class == call.Background && !gate.AllowBackground(req.Service, req.ID) {
+		return call.ReasonBackgroundShed
+	}
 	return call.ReasonNone
 }
+
+// started asserts the rules right before a request is handed over.
+func (r *rules) started(now clock.Milli, _ *call.Request) {
+	r.gate.Load().Started(now, r.self.Centre)
+	r.table.Load().Started(now, r.self.Service, r.self.Version)
+}
--- a/internal/node/daemon/servers.go
+++ b/internal/node/daemon/servers.go
@@ -2,14 +2,16 @@
 
 import (
 	"context"
-	"expvar"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 
-	"github.com/justinas/alice"
 	"github.com/pkg/errors"
 	"golang.org/x/net/netutil"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/admin/auth"
+	"gitlab.com/cranberrytack/cranberrytack/internal/admin/server"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/config"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 )
@@ -59,22 +61,32 @@
 }
 
 func newAdminServer(cfg config.Config, d *Daemon) *httpServer {
-	mux := http.NewServeMux()
-	mux.Handle("GET /debug/vars", expvar.Handler())
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !d.ready.ok.Load() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-		}
-	})
-	chain := alice.New(limitBody)
-	return &httpServer{server: baseServer(cfg, chain.Then(mux)), limit: cfg.Limits.Callers}
+	keeper := auth.New(d.conf.Config, d.clock, cfg.Admin.BootstrapHash)
+	api := server.New(d.conf, keeper, d.clock,
+		server.WithLogger(d.log),
+		server.WithMembers(d),
+		server.WithExplain(d.explain),
+		server.WithReady(d.ready.check))
+	return &httpServer{server: baseServer(cfg, api.Handler()), limit: cfg.Limits.Callers}
 }
 
-// limitBody bounds the request bodies of the administration port.
-func limitBody(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, link.MaxFrameBytes)
-		next.ServeHTTP(w, r)
-	})
+// Members implements server.Members.
+func (d *Daemon) Members() []server.Member {
+	targets := d.fleet.Members()
+	out := make([]server.Member, 0, len(targets))
+	for _, t := range targets {
+		m := server.Member{
+			ID: t.ID, Centre: t.Centre, Service: t.Service, Version: t.Version,
+			State: "live", Revision: d.conf.KnownRevision(t.ID),
+		}
+		if t.Leaving {
+			m.State = "leaving"
+		}
+		if t.ID == d.self.ID {
+			m.Revision = d.conf.Config().Revision
+		}
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b server.Member) int { return strings.Compare(a.ID, b.ID) })
+	return out
 }
--- a/internal/node/daemon/stop.go
+++ b/internal/node/daemon/stop.go
@@ -26,6 +26,14 @@
 	r.ok.Store(ok)
 }
 
+// check returns an error while the daemon is not ready.
+func (r *readiness) check() error {
+	if !r.ok.Load() {
+		return errors.New("the daemon is starting or stopping")
+	}
+	return nil
+}
+
 // stop leaves, waits until every call in both roles has ended, and reports
 // what it had to interrupt.
 func (d *Daemon) stop() error {
@@ -34,7 +42,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.Stop.Timeout.Duration())
 	defer cancel()
 	d.guard.Leave()
-	d.roster.leave(ctx)
+	d.fleet.leave(ctx)
 	time.Sleep(d.cfg.Stop.Notice.Duration())
 	entryErr := d.public.server.Shutdown(ctx)
 	left := d.guard.Drain(ctx)
--- a/internal/path/guard/admission.go
+++ b/internal/path/guard/admission.go
@@ -78,5 +78,10 @@
 func (g *Guard) handOver(r *call.Request) call.Reason {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ledger.HandOver(g.clock.Now(), r)
+	now := g.clock.Now()
+	reason := g.ledger.HandOver(now, r)
+	if reason == call.ReasonNone {
+		g.started(now, r)
+	}
+	return reason
 }
--- a/internal/path/guard/guard.go
+++ b/internal/path/guard/guard.go
@@ -39,6 +39,7 @@
 	upstream *upstream
 	gate     Gate
 	sample   func(Sample)
+	started  func(now clock.Milli, r *call.Request)
 
 	mu      sync.Mutex
 	admit   *admit.Admitter
@@ -62,6 +63,11 @@
 	return func(g *Guard) { g.gate = f }
 }
 
+// WithStarted sets a check that runs right before a request is handed over.
+func WithStarted(f func(now clock.Milli, r *call.Request)) Option {
+	return func(g *Guard) { g.started = f }
+}
+
 // WithSample sets the receiver of samples.
 func WithSample(f func(Sample)) Option {
 	return func(g *Guard) { g.sample = f }
@@ -82,6 +88,7 @@
 		upstream: newUpstream(addr, self.Connections),
 		gate:     func(clock.Milli, *call.Request) call.Reason { return call.ReasonNone },
 		sample:   func(Sample) {},
+		started:  func(clock.Milli, *call.Request) {},
 		admit:    admit.New(self.Slots),
 		ledger:   ledger.New(),
 		waiting:  make(map[call.ID]chan admit.Action),
