--- a/cmd/measure-moves/world.go
+++ b/cmd/measure-moves/world.go
@@ -48,7 +48,7 @@
 type upstream struct {
 	id      string
 	version string
-	noisy   span
+	noisy   []span
 	calls   int
 	rate    float64
 	samples []trial.Sample
@@ -82,12 +82,25 @@
 	}
 	w.faulty = w.period(10, 30)
 	for range 2 {
-		w.new[r.IntN(newTargets)].noisy = w.period(30, 120)
-		w.old[r.IntN(oldTargets)].noisy = w.period(30, 120)
+		u := w.old[r.IntN(oldTargets)]
+		u.noisy = append(u.noisy, w.period(30, 120))
 	}
+	w.neighbours()
 	return w
 }
 
+// neighbours slows one target of the new version after the other, and never
+// two at once: a slowdown of most targets at once is no noisy neighbour.
+func (w *world) neighbours() {
+	at := clock.Milli(w.rand.Float64()) * moveLength / 3
+	for range 3 {
+		u := w.new[w.rand.IntN(newTargets)]
+		s := span{from: at, until: at + clock.Milli(30+90*w.rand.Float64())*clock.Second}
+		u.noisy = append(u.noisy, s)
+		at = s.until + clock.Milli(60*w.rand.Float64())*clock.Second
+	}
+}
+
 // period draws a time within the move that lasts some seconds.
 func (w *world) period(least, most float64) span {
 	from := clock.Milli(w.rand.Float64()) * moveLength
@@ -114,8 +127,10 @@
 			latency *= 2.5
 		}
 	}
-	if u.noisy.holds(now) {
-		latency *= 4
+	for _, s := range u.noisy {
+		if s.holds(now) {
+			latency *= 4
+		}
 	}
 	if w.faulty.holds(now) {
 		failed = failed || w.rand.Float64() < 0.05
