--- a/internal/moves/trial/route.go
+++ b/internal/moves/trial/route.go
@@ -7,9 +7,12 @@
 	maxGroups = 16
 	// whole is the process that leaves no group out.
 	whole = maxGroups
-	// blockWindows is the number of windows after which the group that is left
-	// out may change: a noisy period moves between targets within minutes.
-	blockWindows = 120
+	// switchPrice is the factor of evidence at which another group may be left
+	// out, as a noisy period moves between targets. A lower price would let the
+	// chance differences between the targets of a bad version excuse it.
+	switchPrice = 20
+	// countWindows is half the number of windows that reported counts cover.
+	countWindows = 120
 	// histogramDecay gives the old version's histogram a horizon of 25 s.
 	histogramDecay = 0.98
 	// minHistogram is the number of old calls that fix the latency thresholds.
@@ -70,7 +73,7 @@
 	seen    [maxGroups]bool
 	groups  int
 	good    [metrics]float64
-	inBlock int
+	counted int
 	current counts
 	before  counts
 }
@@ -97,9 +100,10 @@
 		}
 	}
 	r.remember(&p.old, all)
-	r.inBlock++
-	if r.inBlock >= blockWindows {
-		r.endBlock()
+	r.switchGroup()
+	r.counted++
+	if r.counted >= countWindows {
+		r.before, r.current, r.counted = r.current, counts{}, 0
 	}
 }
 
@@ -226,14 +230,24 @@
 	}
 }
 
-// endBlock lets another group be left out from now on. Each process continues
-// from the least of them, which no wrong conviction can profit from.
-func (r *route) endBlock() {
+// switchGroup lets a process continue from the least one at a price. This only
+// ever lowers a process, so no wrong conviction can profit from it.
+func (r *route) switchGroup() {
 	least := r.worse[r.least()]
+	bound := switchPrice * least.sum()
+	if r.groups < 2 {
+		return
+	}
 	for g := range r.worse {
-		r.worse[g] = least
+		if (g < maxGroups && !r.seen[g]) || r.worse[g].sum() <= bound {
+			continue
+		}
+		for m := range least {
+			for i, v := range least[m] {
+				r.worse[g][m][i] = switchPrice * v
+			}
+		}
 	}
-	r.before, r.current, r.inBlock = r.current, counts{}, 0
 }
 
 // least returns the process that speaks least against the new version. With
