core: compare views with own knowledge, judge the ramp by rounds

Views that predict latency worse than the entry's own calls lose weight; a slow guard refuses early; the ramp is judged by rounds of calls, since single slow calls held it down by chance.

--- a/internal/bench/model/ideal.go
+++ b/internal/bench/model/ideal.go
@@ -50,7 +50,7 @@
 	for c := range q.queue {
 		for len(q.queue[c]) > 0 {
 			w := q.queue[c][0]
-			if q.now+MeanService/2 >= w.call.request.Deadline {
+			if q.now+slack(call.Class(c)) >= w.call.request.Deadline {
 				q.queue[c] = q.queue[c][1:]
 				q.stats.refused(w.call)
 				continue
@@ -65,6 +65,12 @@
 	}
 }
 
+// slack is the time that must be left for a call to be started: a service
+// time that few calls exceed, so that no started call is late.
+func slack(c call.Class) clock.Milli {
+	return 4 * MeanService * clock.Milli(classFactor(c))
+}
+
 // choose returns the upstream with a free slot where the call is answered
 // first, or nil when waiting for a faster one is better.
 func (q *ideal) choose(w waiter, c call.Class) *upstream {
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -81,7 +81,7 @@
 	if a.queue[t.Class].empty() && a.fits(now, t.Class) {
 		return append(actions, a.admit(now, t))
 	}
-	if a.waiting() >= a.maxQueue() {
+	if a.full(now, t.Class) {
 		victim, ok := a.yield(t.Class)
 		if !ok {
 			return append(actions, Action{ID: t.ID, Reason: a.fullReason(t.Class)})
--- a/internal/core/admit/class.go
+++ b/internal/core/admit/class.go
@@ -12,6 +12,8 @@
 	// needFade is the time in which the need of interactive calls halves
 	// after a peak.
 	needFade = clock.Second
+	// spareSlots is what background work leaves free.
+	spareSlots = 2
 	// recentCalls is the number of calls of which the median is reported.
 	recentCalls = 16
 	// recentFor is how long a call counts as recent. A target that gets no
@@ -46,9 +48,10 @@
 	return n
 }
 
-// fits reports whether a call of a class may start now. Transfers and
-// background work leave free what interactive calls needed at their recent
-// peak, and at least one slot, as a call in progress is not interrupted.
+// fits reports whether a call of a class may start now. Transfers leave free
+// what interactive calls needed at their recent peak, and at least one slot,
+// as a call in progress is not interrupted. Background work is short, and
+// leaves free some slots for the next interactive calls.
 func (a *Admitter) fits(now clock.Milli, c call.Class) bool {
 	n, capacity := len(a.active), a.capacity()
 	if n >= capacity {
@@ -57,12 +60,12 @@
 	if c == call.Interactive || capacity == 1 {
 		return true
 	}
+	if c == call.Background {
+		return a.queue[call.Interactive].empty() && n+spareSlots < capacity
+	}
 	others := n - a.byClass[call.Interactive]
 	reserve := max(1, int(math.Ceil(a.need.value(now))))
-	if c == call.Transfer {
-		return others < max(1, capacity-reserve)
-	}
-	return others < capacity-reserve
+	return others < max(1, capacity-reserve)
 }
 
 // recent holds the latency of the last calls.
--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -9,11 +9,11 @@
 
 const (
 	// queuePerSlot bounds the calls that wait, in multiples of the capacity.
-	queuePerSlot = 2
+	queuePerSlot = 4
 	// waitRounds bounds how long a call waits, in multiples of the recent
 	// latency.
-	waitRounds = 2
-	minWait    = 5 * clock.Millisecond
+	waitRounds = 5
+	minWait    = 20 * clock.Millisecond
 	maxWait    = 100 * clock.Millisecond
 	// backgroundWait is how long background work waits; nobody waits for it.
 	backgroundWait = 500 * clock.Millisecond
@@ -88,8 +88,18 @@
 	return n
 }
 
-func (a *Admitter) maxQueue() int {
-	return queuePerSlot * a.capacity()
+// full reports whether a call would wait too long or behind too many others.
+// A slow upstream refuses early, while the call can still go elsewhere.
+func (a *Admitter) full(now clock.Milli, c call.Class) bool {
+	n, capacity := a.waiting(), a.capacity()
+	if n >= queuePerSlot*capacity {
+		return true
+	}
+	if c != call.Interactive {
+		return false
+	}
+	ahead := clock.Milli(a.queue[c].len()+1) / clock.Milli(capacity)
+	return ahead*a.latency(now) > a.maxWait(c)
 }
 
 func (a *Admitter) maxWait(c call.Class) clock.Milli {
--- a/internal/core/pick/cost.go
+++ b/internal/core/pick/cost.go
@@ -20,6 +20,9 @@
 	evenSlope = 0.05
 	// busyShare is the wait, in service times, at a target that is just full.
 	busyShare = 0.15
+	// ownEven is the same for the latency that this entry saw, which has more
+	// chance in it.
+	ownEven = 2.0
 	// failurePenalty is the cost of a failed call in multiples of the usual
 	// latency. It makes a target that fails at once dearer than a full one.
 	failurePenalty = 30
@@ -109,30 +112,36 @@
 	return 1 / (1 + x*x)
 }
 
-// load estimates the calls at a target: the view as far as it is recent,
-// the service's mean for the rest, and what this entry sent since.
-func (p *Picker) load(now clock.Milli, e *entry) (load, limit float64) {
+// load estimates the calls at a target: the view as far as it is recent and
+// trusted, the service's mean for the rest, and what this entry sent since.
+func (p *Picker) load(now clock.Milli, e *entry, trust float64) (load, limit float64) {
 	limit = float64(max(1, e.target.Slots))
 	prior := p.mean.load*limit + float64(e.pending)
 	if !e.seen {
 		return prior, limit
 	}
-	limit = float64(max(1, e.view.Limit))
-	w := fade(now-e.view.Taken, viewLife)
+	w := trust * fade(now-e.view.Taken, viewLife)
+	if e.view.Limit > 0 {
+		limit += trust * (float64(e.view.Limit) - limit)
+	}
 	reported := float64(e.view.InProgress + e.view.Queued + e.pending - e.atView)
 	load = w*reported + (1-w)*prior
 	return max(load, float64(e.pending)), limit
 }
 
-// speed estimates the service time of a target.
-func (p *Picker) speed(now clock.Milli, e *entry) clock.Milli {
+// speed estimates the service time of a target. What this entry saw itself
+// counts whatever the target reports.
+func (p *Picker) speed(now clock.Milli, e *entry, trust float64) clock.Milli {
 	usual := p.mean.usual()
-	if !e.seen || e.view.Latency <= 0 {
-		return usual
+	ratio := 1.0
+	if e.seen && e.view.Latency > 0 {
+		w := trust * fade(now-e.view.Taken, latencyLife)
+		ratio = 1 + w*(float64(e.view.Latency/usual)-1)
+	}
+	if e.own.value > ownEven*usual {
+		w := fade(now-e.own.at, latencyLife)
+		ratio = max(ratio, 1+w*(float64(e.own.value/usual)-ownEven))
 	}
-	w := fade(now-e.view.Taken, latencyLife)
-	ratio := float64(e.view.Latency / usual)
-	ratio = 1 + w*(ratio-1)
 	if ratio <= even {
 		return usual * clock.Milli(1+evenSlope*(ratio-1))
 	}
@@ -141,18 +150,22 @@
 
 // cost is the expected time until a call is answered.
 func (p *Picker) cost(now clock.Milli, q *Query, e *entry) clock.Milli {
-	load, limit := p.load(now, e)
-	speed := p.speed(now, e)
+	c := p.distance(q, e) + p.expect(now, e, p.trust(e))
+	if f := e.record.Failing(now); f > 0 {
+		c += clock.Milli(f*failurePenalty) * p.mean.usual()
+	}
+	return c
+}
+
+// expect estimates waiting and service at a target.
+func (p *Picker) expect(now clock.Milli, e *entry, trust float64) clock.Milli {
+	load, limit := p.load(now, e, trust)
 	u := load / limit
 	wait := busyShare * u * u * u
 	if free := limit - load; free < 1 {
 		wait = busyShare + (1-free)/limit
 	}
-	c := p.distance(q, e) + speed*clock.Milli(1+wait)
-	if f := e.record.Failing(now); f > 0 {
-		c += clock.Milli(f*failurePenalty) * p.mean.usual()
-	}
-	return c
+	return p.speed(now, e, trust) * clock.Milli(1+wait)
 }
 
 // distance is the network latency of a call there and back.
@@ -170,7 +183,7 @@
 // reason explains a choice in one word.
 func (p *Picker) reason(now clock.Milli, b *best, near int) call.Reason {
 	e := b.entry
-	load, limit := p.load(now, e)
+	load, limit := p.load(now, e, p.trust(e))
 	switch {
 	case len(p.order) == 1:
 		return call.ReasonOnlyTarget
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -40,6 +40,7 @@
 	centre    string
 	order     []*entry
 	mean      mean
+	skill     skill
 }
 
 type entry struct {
@@ -52,6 +53,10 @@
 	record   eject.Member
 	own      ownLatency
 	lastProb clock.Milli
+	skill    skill
+	// byView and byOwn are the latencies expected of the last call, with
+	// the view and without.
+	byView, byOwn clock.Milli
 }
 
 // New returns a picker that draws from r.
@@ -134,10 +139,13 @@
 	case r.Reason == call.ReasonCancelled:
 	case r.Outcome == call.Answered && !r.Failed:
 		p.group.Observe(now, &e.record, false)
+		p.compare(e, r.Latency)
 		e.own.add(now, r.Latency)
 		p.mean.latency(r.Latency)
 	case failed(&r):
 		p.group.Observe(now, &e.record, true)
+	default:
+		p.compare(e, worst*p.mean.usual())
 	}
 	if r.View != nil {
 		p.Observe(now, *r.View)
@@ -171,6 +179,7 @@
 	if b.entry == nil {
 		return p.fallback(now, &q)
 	}
+	p.predict(now, &q, b.entry)
 	return Choice{Target: &b.entry.target, Reason: p.reason(now, &b, near), Candidates: b.count}
 }
 
--- a/internal/core/ramp/ramp.go
+++ b/internal/core/ramp/ramp.go
@@ -14,6 +14,8 @@
 	smooth = 0.3
 	// settle is the number of calls whose latency makes a reference.
 	settle = 3
+	// shortest is the least number of calls in a round.
+	shortest = 2
 	// fresh is the number of calls in a row over new connections that, with
 	// slow or failed calls among them, tells a restart.
 	fresh = 3
@@ -25,7 +27,8 @@
 	slots   int
 	allowed int
 	cold    bool
-	good    int
+	round   int
+	bad     int
 	seen    int
 	recent  clock.Milli
 	best    clock.Milli
@@ -46,7 +49,7 @@
 // Reset starts the ramp from one call.
 func (r *Ramp) Reset() {
 	r.cold, r.allowed = true, 1
-	r.good, r.seen, r.fresh = 0, 0, 0
+	r.round, r.bad, r.seen, r.fresh = 0, 0, 0, 0
 	r.recent, r.best, r.suspect = 0, 0, false
 	r.starts++
 }
@@ -86,25 +89,41 @@
 	if !r.cold {
 		return false
 	}
-	if s.Failed || (r.seen >= settle && s.Latency > slow*r.best) {
-		r.good = 0
-		r.allowed = max(1, r.allowed-1)
-	} else {
-		r.good++
+	r.round++
+	if s.Failed || r.slow(s) {
+		r.bad++
 	}
 	if !s.Failed {
 		r.learn(s.Latency)
 	}
-	if r.good < r.allowed {
+	if r.round >= max(shortest, r.allowed) {
+		r.judge()
+	}
+	return false
+}
+
+// slow reports whether a call was slow for this start: an upstream that is
+// evenly slow while it warms up still takes more calls.
+func (r *Ramp) slow(s Sample) bool {
+	if r.seen < settle || (s.Usual > 0 && s.Latency < slow*s.Usual) {
 		return false
 	}
-	r.good = 0
-	if r.allowed == r.slots {
+	return s.Latency > slow*r.best
+}
+
+// judge ends a round of calls. Half of them must be bad to lower the ramp,
+// as single calls are slow by chance.
+func (r *Ramp) judge() {
+	failing := r.bad*2 >= r.round
+	r.round, r.bad = 0, 0
+	switch {
+	case failing:
+		r.allowed = max(1, r.allowed/2)
+	case r.allowed == r.slots:
 		r.cold = false
-		return false
+	default:
+		r.allowed++
 	}
-	r.allowed++
-	return false
 }
 
 func (r *Ramp) learn(latency clock.Milli) {
