core: keep background work out of speed estimates and retries

Only interactive calls tell how fast a target is, and background work that was shed is not retried. Transfers and background work leave free the mean need of interactive calls and a margin.

--- a/internal/bench/model/entry.go
+++ b/internal/bench/model/entry.go
@@ -98,7 +98,7 @@
 // ended takes in the end of an attempt.
 func (e *entry) ended(a *attempt, r call.Result) {
 	now, x := e.m.now, a.call
-	r.Latency = now - a.sent
+	r.Latency, r.Class = now-a.sent, x.request.Class
 	e.chooser.Finished(now, a.up.target.ID, r)
 	x.drop(a)
 	if x.done {
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -77,7 +77,9 @@
 	if r := a.barred(now, t); r != call.ReasonNone {
 		return append(actions, Action{ID: t.ID, Reason: r})
 	}
-	a.need.note(now, a.interactive(t.Class))
+	if t.Class == call.Interactive {
+		a.need.note(now, a.interactive())
+	}
 	if a.queue[t.Class].empty() && a.fits(now, t.Class) {
 		return append(actions, a.admit(now, t))
 	}
@@ -124,9 +126,11 @@
 }
 
 func (a *Admitter) learn(now clock.Milli, c call.Class, r Result) {
-	// A transfer lasts as long as its body takes to arrive, which says
-	// nothing of the upstream's speed.
-	if c != call.Transfer {
+	// A transfer lasts as long as its body takes to arrive, and background
+	// work runs longer by nature: beside interactive calls, both would look
+	// like a slow upstream.
+	typical := c == call.Interactive || (c == call.Background && a.need.value(now) < idleNeed)
+	if typical {
 		a.limit.Observe(r.Latency, r.Failed)
 		if !r.Failed {
 			a.recent.add(now, r.Latency)
@@ -136,7 +140,7 @@
 		Latency: r.Latency, Usual: a.limit.Usual(), Failed: r.Failed,
 		NewConnection: r.NewConnection, Epoch: r.Epoch,
 	}
-	if c == call.Transfer {
+	if !typical {
 		s.Latency = a.limit.Usual()
 	}
 	a.ramp.Observe(s)
--- a/internal/core/admit/class.go
+++ b/internal/core/admit/class.go
@@ -10,48 +10,54 @@
 
 const (
 	// needFade is the time in which the need of interactive calls halves
-	// after a peak.
-	needFade = clock.Second
-	// spareSlots is what background work leaves free.
-	spareSlots = 2
+	// while none arrive; needSmooth is the weight of one arrival.
+	needFade   = clock.Second
+	needSmooth = 0.02
+	// idleNeed is the mean below which there are no interactive calls to
+	// speak of.
+	idleNeed = 0.05
+	// spareSlots is what background work leaves free at its start, and
+	// backgroundMargin what it leaves above the mean need.
+	spareSlots       = 2
+	backgroundMargin = 0.5
+	// transferMargin is what transfers leave above the mean need, in
+	// standard deviations of random arrivals.
+	transferMargin = 1.0
 	// recentCalls is the number of calls of which the median is reported.
-	recentCalls = 16
+	recentCalls = 8
 	// recentFor is how long a call counts as recent. A target that gets no
 	// calls must not be reported as slow for ever.
-	recentFor = clock.Second
+	recentFor = 300 * clock.Millisecond
 )
 
-// need follows the peaks of interactive calls in progress and waiting.
+// need follows the interactive calls in progress and waiting: their mean,
+// seen by each arriving call, fades while none arrive.
 type need struct {
-	peak float64
+	mean float64
 	at   clock.Milli
 }
 
 func (n *need) note(now clock.Milli, calls int) {
-	n.peak = max(n.value(now), float64(calls))
+	n.mean = n.value(now)
+	n.mean += needSmooth * (float64(calls) - n.mean)
 	n.at = now
 }
 
 func (n *need) value(now clock.Milli) float64 {
-	if n.peak == 0 {
+	if n.mean == 0 {
 		return 0
 	}
-	return n.peak * math.Exp2(-float64((now-n.at)/needFade))
+	return n.mean * math.Exp2(-float64((now-n.at)/needFade))
 }
 
-// interactive counts the interactive calls, one of class c included.
-func (a *Admitter) interactive(c call.Class) int {
-	n := a.byClass[call.Interactive] + a.queue[call.Interactive].len()
-	if c == call.Interactive {
-		n++
-	}
-	return n
+// interactive counts the interactive calls in progress and waiting.
+func (a *Admitter) interactive() int {
+	return a.byClass[call.Interactive] + a.queue[call.Interactive].len()
 }
 
-// fits reports whether a call of a class may start now. Transfers leave free
-// what interactive calls needed at their recent peak, and at least one slot,
-// as a call in progress is not interrupted. Background work is short, and
-// leaves free some slots for the next interactive calls.
+// fits reports whether a call of a class may start now. Calls in progress are
+// not interrupted, so transfers and background work leave free what
+// interactive calls need on average and a margin for their peaks.
 func (a *Admitter) fits(now clock.Milli, c call.Class) bool {
 	n, capacity := len(a.active), a.capacity()
 	if n >= capacity {
@@ -60,12 +66,13 @@
 	if c == call.Interactive || capacity == 1 {
 		return true
 	}
+	others := float64(n - a.byClass[call.Interactive] + 1)
+	mean := a.need.value(now)
 	if c == call.Background {
-		return a.queue[call.Interactive].empty() && n+spareSlots < capacity
+		return a.queue[call.Interactive].empty() && n+spareSlots < capacity &&
+			others+mean+backgroundMargin <= float64(capacity)
 	}
-	others := n - a.byClass[call.Interactive]
-	reserve := max(1, int(math.Ceil(a.need.value(now))))
-	return others < max(1, capacity-reserve)
+	return others+mean+transferMargin*math.Sqrt(mean) <= max(float64(capacity)-1, 1+mean)
 }
 
 // recent holds the latency of the last calls.
@@ -109,7 +116,7 @@
 	longer, n := 0, 0
 	shortest := clock.Milli(math.MaxFloat64)
 	for _, r := range a.active {
-		if r.class == call.Transfer {
+		if r.class != call.Interactive {
 			continue
 		}
 		n++
--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -55,6 +55,9 @@
 
 // Result is how one attempt ended, as the entry saw it.
 type Result struct {
+	// Class is that of the request. Only interactive calls tell how fast a
+	// target is, as the others wait on purpose.
+	Class   Class
 	Outcome Outcome
 	Reason  Reason
 	// Failed says that the upstream answered with a server error or broke off.
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -139,19 +139,31 @@
 	case r.Reason == call.ReasonCancelled:
 	case r.Outcome == call.Answered && !r.Failed:
 		p.group.Observe(now, &e.record, false)
-		p.compare(e, r.Latency)
-		e.own.add(now, r.Latency)
-		p.mean.latency(r.Latency)
+		p.learn(now, e, &r)
 	case failed(&r):
 		p.group.Observe(now, &e.record, true)
 	default:
-		p.compare(e, worst*p.mean.usual())
+		p.learn(now, e, &r)
 	}
 	if r.View != nil {
 		p.Observe(now, *r.View)
 	}
 }
 
+// learn takes in how long an interactive call took. A refusal counts as a
+// very slow call, but only in the comparison of predictions.
+func (p *Picker) learn(now clock.Milli, e *entry, r *call.Result) {
+	switch {
+	case r.Class != call.Interactive:
+	case r.Outcome == call.NotRun:
+		p.compare(e, worst*p.mean.usual())
+	default:
+		p.compare(e, r.Latency)
+		e.own.add(now, r.Latency)
+		p.mean.latency(r.Latency)
+	}
+}
+
 // failed reports whether a result speaks against the target. A refusal for
 // load does not: the view that comes with it says what there is to say.
 func failed(r *call.Result) bool {
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -43,8 +43,11 @@
 	reserveRate = 0.05
 	// hedgeFloor is the share of tokens that hedges leave for retries.
 	hedgeFloor = MaxTokens / 2
-	// refusalLimit is the share of refused attempts from which on hedges
-	// would add to an overload.
+	// hedgeDepth is the deepest level of a chain that hedges. A hedge repeats
+	// the whole chain below, so the shares of the levels multiply.
+	hedgeDepth = 1
+	// refusalLimit is the share of refused and failed attempts from which on
+	// hedges would add to an overload, here or further down the chain.
 	refusalLimit = 0.02
 	smooth       = 0.02
 )
@@ -99,6 +102,8 @@
 		return call.ReasonRetriedBelow
 	case now >= a.Request.Deadline:
 		return call.ReasonDeadline
+	case a.Request.Class == call.Background && a.Result.Outcome == call.NotRun && shed(a.Result.Reason):
+		return a.Result.Reason
 	case a.Result.Reason == call.ReasonCancelled:
 		return call.ReasonCancelled
 	case a.Number >= MaxAttempts:
@@ -108,9 +113,23 @@
 	}
 }
 
+// shed reports whether a call was refused for load. Background work that is
+// shed leaves the budget to calls that somebody waits for.
+func shed(r call.Reason) bool {
+	switch r {
+	case call.ReasonBackgroundShed, call.ReasonQueueTimeout, call.ReasonQueueFull, call.ReasonCold:
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *Policy) learn(a Attempt) {
+	if a.Request.Class != call.Interactive {
+		return
+	}
 	x := 0.0
-	if a.Result.Outcome == call.NotRun {
+	if a.Result.Outcome == call.NotRun || a.Result.Failed {
 		x = 1
 	}
 	p.refused += smooth * (x - p.refused)
@@ -122,7 +141,7 @@
 // HedgeAfter returns how long after its start an attempt may be hedged.
 func (p *Policy) HedgeAfter(now clock.Milli, a Attempt) (clock.Milli, bool) {
 	r := a.Request
-	if !r.Repeatable || r.Retried || a.Number > 1 || r.Class != call.Interactive {
+	if !r.Repeatable || r.Retried || a.Number > 1 || r.Depth > hedgeDepth || r.Class != call.Interactive {
 		return 0, false
 	}
 	if p.refused > refusalLimit || p.tokens < hedgeFloor {
