--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -40,6 +40,7 @@
 	centre    string
 	order     []*entry
 	mean      mean
+	skill     skill
 }
 
 type entry struct {
@@ -52,6 +53,10 @@
 	record   eject.Member
 	own      ownLatency
 	lastProb clock.Milli
+	skill    skill
+	// byView and byOwn are the latencies expected of the last call, with
+	// the view and without.
+	byView, byOwn clock.Milli
 }
 
 // New returns a picker that draws from r.
@@ -134,16 +139,31 @@
 	case r.Reason == call.ReasonCancelled:
 	case r.Outcome == call.Answered && !r.Failed:
 		p.group.Observe(now, &e.record, false)
-		e.own.add(now, r.Latency)
-		p.mean.latency(r.Latency)
+		p.learn(now, e, &r)
 	case failed(&r):
 		p.group.Observe(now, &e.record, true)
+	default:
+		p.learn(now, e, &r)
 	}
 	if r.View != nil {
 		p.Observe(now, *r.View)
 	}
 }
 
+// learn takes in how long an interactive call took. A refusal counts as a
+// very slow call, but only in the comparison of predictions.
+func (p *Picker) learn(now clock.Milli, e *entry, r *call.Result) {
+	switch {
+	case r.Class != call.Interactive:
+	case r.Outcome == call.NotRun:
+		p.compare(e, worst*p.mean.usual())
+	default:
+		p.compare(e, r.Latency)
+		e.own.add(now, r.Latency)
+		p.mean.latency(r.Latency)
+	}
+}
+
 // failed reports whether a result speaks against the target. A refusal for
 // load does not: the view that comes with it says what there is to say.
 func failed(r *call.Result) bool {
@@ -171,6 +191,7 @@
 	if b.entry == nil {
 		return p.fallback(now, &q)
 	}
+	p.predict(now, &q, b.entry)
 	return Choice{Target: &b.entry.target, Reason: p.reason(now, &b, near), Candidates: b.count}
 }
 
