--- /dev/null
+++ b/internal/fleet/budget/budget_test.go
@@ -0,0 +1,88 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/budget"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/member"
+)
+
+// Guards against a sender that exceeds the budget in some 10 s although it
+// asks first.
+func TestWindow(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		l := budget.NewLimiter(0)
+		type use struct {
+			at    clock.Milli
+			bytes int
+		}
+		var uses []use
+		now := clock.Milli(0)
+		for range 300 {
+			now += clock.Milli(rapid.Float64Range(0, 300).Draw(rt, "wait"))
+			bytes := rapid.IntRange(1, 1200).Draw(rt, "bytes")
+			imp := member.Importance(rapid.IntRange(0, 3).Draw(rt, "importance"))
+			if l.Allow(now, bytes, imp) {
+				l.Charge(now, bytes, 0)
+				uses = append(uses, use{now, bytes})
+			}
+			sum := 0
+			for _, u := range uses {
+				if now-u.at < 10*clock.Second {
+					sum += u.bytes
+				}
+			}
+			if sum > 10*budget.BytesPerSecond {
+				rt.Fatalf("%d bytes in 10 s", sum)
+			}
+		}
+	})
+}
+
+// Guards against unimportant updates that go out while important ones wait.
+func TestOrder(t *testing.T) {
+	cases := map[string]struct {
+		used    int
+		cpu     clock.Milli
+		allowed []member.Importance
+	}{
+		"idle":       {0, 0, []member.Importance{member.Vital, member.Urgent, member.Ordinary, member.Bulk}},
+		"half":       {4500, 0, []member.Importance{member.Vital, member.Urgent, member.Ordinary}},
+		"low":        {7000, 0, []member.Importance{member.Vital, member.Urgent}},
+		"overdrawn":  {9000, 0, []member.Importance{member.Vital}},
+		"far over":   {15000, 0, nil},
+		"out of CPU": {0, 100, nil},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := budget.NewLimiter(0)
+			l.Charge(0, tc.used, tc.cpu)
+			var got []member.Importance
+			for imp := member.Vital; imp <= member.Bulk; imp++ {
+				if l.Allow(0, 100, imp) {
+					got = append(got, imp)
+				}
+			}
+			g.Expect(got).To(Equal(tc.allowed))
+			g.Expect(l.Allow(20*clock.Second, 100, member.Bulk)).To(BeTrue(), "the budget returns")
+		})
+	}
+}
+
+// Guards against traffic that is counted under the wrong kind or not at all.
+func TestMeter(t *testing.T) {
+	g := NewWithT(t)
+	m := budget.NewMeter(clock.NewManual(0), budget.NewLimiter(0))
+	m.Sent(budget.Probe, 10)
+	m.Received(budget.Sync, 20)
+	m.Worked(budget.Sync, time.Now().Add(-time.Second))
+	g.Expect(m.Total(budget.Probe).Sent).To(Equal(int64(10)))
+	g.Expect(m.Total(budget.Sync).Received).To(Equal(int64(20)))
+	g.Expect(m.Sum().CPU).To(BeNumerically(">=", 1000))
+}
--- /dev/null
+++ b/internal/fleet/gossip/gossip_test.go
@@ -0,0 +1,114 @@
+package gossip_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/budget"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/gossip"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/member"
+)
+
+type daemon struct {
+	*gossip.Shell
+	conn net.PacketConn
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func start(t *testing.T, l *gossip.Local, fleet string) *daemon {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clk := clock.NewReal()
+	limit := budget.NewLimiter(clk.Now())
+	d := &daemon{conn: conn, done: make(chan struct{})}
+	d.Shell = gossip.New(gossip.Settings{
+		Fleet: fleet, Clock: clk, Conn: conn, Syncer: l, Seeds: l, Limit: limit,
+		Meter: budget.NewMeter(clk, limit), Log: zerolog.Nop(),
+		Self: member.Fact{
+			ID: conn.LocalAddr().String(), Incarnation: uint64(clk.Now()), Service: "plans", Version: "1", Centre: "a", Region: "r",
+		},
+	})
+	l.Add(d.Self().ID, d.Shell)
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stop = func() {
+		cancel()
+		<-d.done
+		_ = conn.Close()
+		l.Add(d.Self().ID, nil)
+	}
+	go d.run(ctx)
+	return d
+}
+
+func (d *daemon) run(ctx context.Context) {
+	defer close(d.done)
+	_ = d.Serve(ctx)
+}
+
+// Guards against shells that do not find each other, miss a departure or a
+// death, or leave goroutines behind.
+func TestLife(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := NewWithT(t)
+	l := gossip.NewLocal()
+	first := start(t, l, "fleet")
+	l.SetPeers(first.Self().ID)
+	all := []*daemon{first}
+	for range 4 {
+		all = append(all, start(t, l, "fleet"))
+	}
+	defer func() {
+		for _, d := range all {
+			d.stop()
+		}
+	}()
+	for _, d := range all {
+		g.Eventually(d.Size, 10*time.Second).Should(Equal(5))
+	}
+	leaver := all[4]
+	leaver.Leave()
+	g.Expect(leaver.State()).To(Equal(gossip.Leaving))
+	g.Eventually(func() bool { f, _ := first.Lookup(leaver.Self().ID); return f.Leaving }, 3*time.Second).Should(BeTrue())
+	all[3].stop()
+	dead := all[3].Self().ID
+	all = append(all[:3], leaver)
+	g.Eventually(func() bool { f, _ := first.Lookup(dead); return f.Status == member.Dead }, 10*time.Second).Should(BeTrue())
+}
+
+// Guards against datagrams that are not of this fleet's making having an
+// effect, or going uncounted.
+func TestDropped(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := NewWithT(t)
+	l := gossip.NewLocal()
+	d := start(t, l, "fleet")
+	defer d.stop()
+	l.SetPeers(d.Self().ID)
+	other := start(t, l, "another fleet")
+	defer other.stop()
+	g.Eventually(func() int64 { _, n := d.Dropped(); return n }, 5*time.Second).Should(BeNumerically(">", 0))
+	cases := map[string][]byte{
+		"empty":    {},
+		"text":     []byte("GET / HTTP/1.1"),
+		"zeros":    make([]byte, 300),
+		"too long": bytes.Repeat([]byte{0xff}, 2000),
+	}
+	for _, b := range cases {
+		_, err := other.conn.WriteTo(b, d.conn.LocalAddr())
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Eventually(func() int64 { m, w := d.Dropped(); return m + w }, 5*time.Second).Should(BeNumerically(">=", len(cases)+1))
+	g.Expect(d.Size()).To(Equal(1))
+}
--- /dev/null
+++ b/internal/fleet/gossip/life.go
@@ -0,0 +1,99 @@
+package gossip
+
+import (
+	"context"
+	"time"
+
+	"github.com/looplab/fsm"
+	"github.com/rs/zerolog"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/budget"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/member"
+)
+
+// The states and events of this daemon's own membership.
+const (
+	Joining = "joining"
+	Live    = "live"
+	Leaving = "leaving"
+	Left    = "left"
+
+	evJoined = "joined"
+	evLeave  = "leave"
+	evGone   = "gone"
+)
+
+func newLife(log zerolog.Logger) *fsm.FSM {
+	return fsm.NewFSM(Joining, fsm.Events{
+		{Name: evJoined, Src: []string{Joining}, Dst: Live},
+		{Name: evLeave, Src: []string{Joining, Live}, Dst: Leaving},
+		{Name: evGone, Src: []string{Joining, Live, Leaving}, Dst: Left},
+	}, fsm.Callbacks{
+		"enter_state": func(_ context.Context, e *fsm.Event) {
+			log.Info().Str("from", e.Src).Str("to", e.Dst).Msg("membership_state")
+		},
+	})
+}
+
+// transition ignores an event that the current state does not have, such as
+// the end of a join after this member began to leave.
+func (s *Shell) transition(ev string) bool {
+	return s.life.Event(context.Background(), ev) == nil
+}
+
+// State returns the state of this daemon's own membership.
+func (s *Shell) State() string { return s.life.Current() }
+
+// Leave announces that this daemon takes no new work.
+func (s *Shell) Leave() {
+	if s.transition(evLeave) {
+		s.handle(member.Leave{}, budget.Update)
+	}
+}
+
+// Gone announces that this daemon has finished; it waits until the
+// announcement was sent a few times.
+func (s *Shell) Gone(ctx context.Context) {
+	if !s.transition(evGone) {
+		return
+	}
+	s.handle(member.Gone{}, budget.Update)
+	if s.s.Seeds != nil {
+		_ = s.s.Seeds.Leave(ctx, s.Self())
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Second):
+	}
+}
+
+// Publish spreads an item of news.
+func (s *Shell) Publish(n member.News) { s.handle(member.Publish{News: n}, budget.Update) }
+
+// Self returns what this daemon announces of itself.
+func (s *Shell) Self() member.Fact {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Self()
+}
+
+// Table returns all members that are not gone.
+func (s *Shell) Table() []member.Fact {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Table()
+}
+
+// Lookup returns what is known of a member.
+func (s *Shell) Lookup(id string) (member.Fact, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Lookup(id)
+}
+
+// Size returns the number of members that are not gone.
+func (s *Shell) Size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Live()
+}
--- /dev/null
+++ b/internal/fleet/gossip/sync.go
@@ -0,0 +1,149 @@
+package gossip
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/budget"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/member"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+// streamOverhead is what one message over a link costs beside its payload:
+// IP, TCP, yamux and frame headers in both directions of a short stream.
+const streamOverhead = 160
+
+// Syncer carries membership comparisons to a peer over a link. The peer
+// answers with Shell.ServeSync.
+type Syncer interface {
+	Sync(ctx context.Context, peer string, request []byte) ([]byte, error)
+}
+
+func encodeRequest(fleet uint32, r *member.SyncRequest) ([]byte, error) {
+	w := &wire.SyncRequest{
+		Fleet: fleet, Root: r.Root, Compare: r.Compare, Mask: r.Mask,
+		Facts: encodeFacts(r.Facts), News: encodeNews(r.News),
+	}
+	if r.Self.ID != "" {
+		w.Self = encodeFact(&r.Self)
+	}
+	for _, s := range r.Stamps {
+		w.StampKeys = append(w.StampKeys, s.Key)
+		w.StampHashes = append(w.StampHashes, s.Hash)
+	}
+	b, err := proto.Marshal(w)
+	return b, errors.Wrap(err, "encode sync request")
+}
+
+func decodeRequest(fleet uint32, b []byte) (member.SyncRequest, error) {
+	var w wire.SyncRequest
+	if err := proto.Unmarshal(b, &w); err != nil {
+		return member.SyncRequest{}, errors.Wrap(ErrMalformed, err.Error())
+	}
+	if w.GetFleet() != fleet {
+		return member.SyncRequest{}, ErrWrongFleet
+	}
+	if len(w.GetStampKeys()) != len(w.GetStampHashes()) {
+		return member.SyncRequest{}, errors.Wrapf(ErrMalformed, "%d stamp keys", len(w.GetStampKeys()))
+	}
+	r := member.SyncRequest{Root: w.GetRoot(), Compare: w.GetCompare(), Mask: w.GetMask(), News: decodeNews(w.GetNews())}
+	for i, k := range w.GetStampKeys() {
+		r.Stamps = append(r.Stamps, member.Stamp{Key: k, Hash: w.GetStampHashes()[i]})
+	}
+	var err error
+	if w.GetSelf() != nil {
+		if r.Self, err = decodeFact(w.GetSelf()); err != nil {
+			return r, err
+		}
+	}
+	r.Facts, err = decodeFacts(w.GetFacts())
+	return r, err
+}
+
+func encodeReply(r *member.SyncReply) ([]byte, error) {
+	b, err := proto.Marshal(&wire.SyncReply{
+		Equal: r.Equal, Busy: r.Busy, Served: r.Served, Buckets: r.Buckets,
+		Facts: encodeFacts(r.Facts), Want: r.Want, News: encodeNews(r.News),
+	})
+	return b, errors.Wrap(err, "encode sync reply")
+}
+
+func decodeReply(b []byte) (member.SyncReply, error) {
+	var w wire.SyncReply
+	if err := proto.Unmarshal(b, &w); err != nil {
+		return member.SyncReply{}, errors.Wrap(ErrMalformed, err.Error())
+	}
+	r := member.SyncReply{
+		Equal: w.GetEqual(), Busy: w.GetBusy(), Served: w.GetServed(), Buckets: w.GetBuckets(),
+		Want: w.GetWant(), News: decodeNews(w.GetNews()),
+	}
+	var err error
+	r.Facts, err = decodeFacts(w.GetFacts())
+	return r, err
+}
+
+// Limits of comparisons with peers.
+const (
+	askWorkers  = 2
+	maxAsks     = 16
+	syncTimeout = 2 * time.Second
+)
+
+// runSync carries the core's requests to peers.
+func (s *Shell) runSync(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case a := <-s.asks:
+			s.exchange(ctx, a)
+		}
+	}
+}
+
+func (s *Shell) exchange(ctx context.Context, a member.Ask) {
+	reply, err := s.roundTrip(ctx, a)
+	if err != nil {
+		s.s.Log.Debug().Str("peer", a.Peer).Err(err).Msg("sync_failed")
+		s.handle(member.SyncFailed(a), budget.Sync)
+		return
+	}
+	s.handle(member.Synced{Peer: a.Peer, Request: a.Request, Reply: reply}, budget.Sync)
+}
+
+func (s *Shell) roundTrip(ctx context.Context, a member.Ask) (member.SyncReply, error) {
+	b, err := encodeRequest(s.fleet, &a.Request)
+	if err != nil {
+		return member.SyncReply{}, err
+	}
+	s.s.Meter.Sent(budget.Sync, len(b)+streamOverhead)
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	b, err = s.s.Syncer.Sync(ctx, a.Peer, b)
+	if err != nil {
+		return member.SyncReply{}, err
+	}
+	s.s.Meter.Received(budget.Sync, len(b)+streamOverhead)
+	return decodeReply(b)
+}
+
+// ServeSync answers a request that a peer sent over a link. An error means
+// that the link must be closed.
+func (s *Shell) ServeSync(from string, request []byte) ([]byte, error) {
+	s.s.Meter.Received(budget.Sync, len(request)+streamOverhead)
+	req, err := decodeRequest(s.fleet, request)
+	if err != nil {
+		s.drop(err)
+		return nil, err
+	}
+	reply := s.handle(member.Asked{From: from, Request: req}, budget.Sync)
+	b, err := encodeReply(reply)
+	if err != nil {
+		return nil, err
+	}
+	s.s.Meter.Sent(budget.Sync, len(b)+streamOverhead)
+	return b, nil
+}
--- /dev/null
+++ b/internal/fleet/member/sim_test.go
@@ -0,0 +1,187 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/member"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/virt"
+)
+
+func warm(seed uint64, members, regions int) *virt.Net {
+	n := virt.New(seed)
+	n.Fleet(members, regions)
+	n.Warm()
+	n.Run(5 * clock.Second)
+	return n
+}
+
+func isGone(f member.Fact) bool { return f.Status.Gone() }
+
+// Guards against deaths, departures, joins and news that spread too slowly.
+func TestTimeToKnow(t *testing.T) {
+	cases := map[string]struct {
+		loss   float64
+		limit  clock.Milli
+		change func(n *virt.Net, d *virt.Node)
+		known  func(f member.Fact) bool
+	}{
+		"death":             {0, 10 * clock.Second, func(_ *virt.Net, d *virt.Node) { d.Crash() }, isGone},
+		"death with loss":   {0.1, 10 * clock.Second, func(_ *virt.Net, d *virt.Node) { d.Crash() }, isGone},
+		"leaving":           {0, 3 * clock.Second, func(_ *virt.Net, d *virt.Node) { d.Leave() }, func(f member.Fact) bool { return f.Leaving }},
+		"leaving with loss": {0.1, 3 * clock.Second, func(_ *virt.Net, d *virt.Node) { d.Leave() }, func(f member.Fact) bool { return f.Leaving }},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				g := NewWithT(t)
+				n := warm(seed, 180, 3)
+				n.Loss = tc.loss
+				d := n.Nodes[seed*7]
+				tc.change(n, d)
+				took, ok := n.Until(tc.limit, 50, func() bool {
+					return n.Everyone(d, func(o *virt.Node) bool { return o.Knows(d.ID, tc.known) })
+				})
+				g.Expect(ok).To(BeTrue(), "seed %d: not known everywhere after %v ms", seed, took)
+			}
+		})
+	}
+}
+
+// Guards against a live member that is dropped, or a dead one that is kept,
+// under loss, reordering, duplication, pauses, restarts and partitions.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			g := NewWithT(t)
+			n := warm(seed, 90, 2)
+			r := rand.New(rand.NewPCG(seed, 99))
+			n.Loss, n.Duplicate, n.Delayed = 0.1*r.Float64(), 0.1, 0.1
+			for range 20 {
+				d := n.Nodes[r.IntN(len(n.Nodes))]
+				switch r.IntN(4) {
+				case 0:
+					d.Crash()
+				case 1:
+					d.Start(n.Nodes[0].ID, n.Nodes[1].ID, n.Nodes[2].ID)
+				case 2:
+					if d.Up {
+						d.Pause(clock.Milli(r.Float64()) * 20 * clock.Second)
+					}
+				default:
+					lost := fmt.Sprintf("region%d", r.IntN(2))
+					n.Cut = func(a, b *virt.Node) bool { return (a.Region == lost) != (b.Region == lost) }
+					n.Run(clock.Milli(r.Float64()) * 20 * clock.Second)
+					n.Cut = func(*virt.Node, *virt.Node) bool { return false }
+				}
+				n.Run(clock.Milli(r.Float64()) * 5 * clock.Second)
+			}
+			took, ok := n.Until(3*clock.Minute, clock.Second, func() bool { return settled(n) == "" })
+			g.Expect(ok).To(BeTrue(), "after %v ms: %s", took, settled(n))
+		})
+	}
+}
+
+// settled returns the first disagreement between the tables and the truth.
+func settled(n *virt.Net) string {
+	for _, d := range n.Live() {
+		for _, o := range n.Nodes {
+			f, known := d.Core.Lookup(o.ID)
+			in := known && !f.Status.Gone()
+			if in != o.Up || o.Up && f.Incarnation != o.Core.Self().Incarnation {
+				if o.Core == nil {
+					return "not started"
+				}
+				return fmt.Sprintf("%s believes %s is %v, up %v; it says %v", d.ID, o.ID, f, o.Up, o.Core.Self())
+			}
+		}
+	}
+	return ""
+}
+
+// Guards against a pause that removes the paused member for long, or makes it
+// remove others.
+func TestPause(t *testing.T) {
+	for name, pause := range map[string]clock.Milli{"short": 800, "suspected": 3 * clock.Second, "long": 30 * clock.Second} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := warm(5, 60, 1)
+			d := n.Nodes[10]
+			d.Pause(pause)
+			n.Run(pause)
+			took, ok := n.Until(10*clock.Second, 100, func() bool { return settled(n) == "" })
+			g.Expect(ok).To(BeTrue(), "%v: %s", took, settled(n))
+			n.Run(20 * clock.Second)
+			g.Expect(settled(n)).To(BeEmpty())
+		})
+	}
+}
+
+// Guards against a region that drops its peers while cut off, and against
+// tables that stay different afterwards.
+func TestRegionCutOff(t *testing.T) {
+	g := NewWithT(t)
+	n := warm(3, 108, 3)
+	n.Cut = func(a, b *virt.Node) bool { return (a.Region == "region1") != (b.Region == "region1") }
+	dead, left := n.Nodes[3], n.Nodes[4]
+	dead.Crash()
+	n.Run(clock.Minute)
+	left.Do(member.Gone{})
+	left.Crash()
+	n.Run(clock.Hour / 4)
+	for _, d := range n.Live() {
+		g.Expect(d.Core.Live()).To(BeNumerically(">=", 106), d.ID)
+	}
+	n.Cut = func(*virt.Node, *virt.Node) bool { return false }
+	took, ok := n.Until(2*clock.Minute, clock.Second, func() bool { return settled(n) == "" })
+	g.Expect(ok).To(BeTrue(), "%v: %s", took, settled(n))
+}
+
+// Guards against halves of one data centre that took each other for dead and
+// never meet again.
+func TestSplitCentreHeals(t *testing.T) {
+	g := NewWithT(t)
+	n := virt.New(8)
+	for range 20 {
+		n.Add("dc", "region")
+	}
+	n.Warm()
+	half := map[*virt.Node]bool{}
+	for _, d := range n.Nodes[:10] {
+		half[d] = true
+	}
+	n.Cut = func(a, b *virt.Node) bool { return half[a] != half[b] }
+	n.Run(clock.Minute)
+	g.Expect(n.Nodes[0].Core.Live()).To(Equal(10))
+	n.Cut = func(*virt.Node, *virt.Node) bool { return false }
+	_, ok := n.Until(2*clock.Minute, clock.Second, func() bool { return settled(n) == "" })
+	g.Expect(ok).To(BeTrue(), settled(n))
+}
+
+// Guards against a cold fleet that does not come together.
+func TestJoinStorm(t *testing.T) {
+	g := NewWithT(t)
+	n := virt.New(4)
+	n.Fleet(120, 2)
+	for _, d := range n.Nodes {
+		d.Start(n.Nodes[0].ID, n.Nodes[1].ID, n.Nodes[2].ID)
+	}
+	_, ok := n.Until(2*clock.Minute, clock.Second, func() bool { return settled(n) == "" })
+	g.Expect(ok).To(BeTrue(), settled(n))
+}
+
+// Guards against news that does not reach every member.
+func TestNews(t *testing.T) {
+	g := NewWithT(t)
+	n := warm(6, 180, 3)
+	n.Loss = 0.1
+	n.Nodes[0].Do(member.Publish{News: member.News{Topic: "revision", Version: 7}})
+	_, ok := n.Until(7*clock.Second, 50, func() bool {
+		return n.Everyone(nil, func(d *virt.Node) bool { return d.Core.News("revision").Version == 7 })
+	})
+	g.Expect(ok).To(BeTrue())
+}
--- /dev/null
+++ b/internal/fleet/member/sync.go
@@ -0,0 +1,252 @@
+package member
+
+import (
+	"cmp"
+	"math"
+	"math/bits"
+	"slices"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+)
+
+const (
+	// maxReply bounds what a joining member gets at once; it is less than
+	// the budget of 2 s of the peer.
+	maxReply = 5000
+	maxHints = 4
+	// bucketsPerAsk bounds the stamps of a comparison to 200 members of 3,200.
+	bucketsPerAsk = 4
+)
+
+// differentEvery is the mean time between comparisons while tables differ.
+const differentEvery = 6 * clock.Second
+
+// asked answers a peer's request.
+func (c *Core) asked(now clock.Milli, a Asked) {
+	req := &a.Request
+	if c.self.Status.Gone() {
+		c.out = append(c.out, Answer{Reply: SyncReply{Busy: true}})
+		return
+	}
+	if req.Self.ID != "" {
+		c.merge(now, req.Self)
+	}
+	page := req.Mask
+	if page != 0 && len(req.Stamps) == 0 {
+		page = c.page(req.Mask)
+		if !c.opts.Allowance.Allow(now, c.bytesIn(page), Ordinary) {
+			c.out = append(c.out, Answer{Reply: SyncReply{Busy: true, Facts: c.hints(req.Self.ID)}})
+			return
+		}
+	}
+	for _, f := range req.Facts {
+		c.merge(now, f)
+	}
+	for _, n := range req.News {
+		c.learnNews(now, n)
+	}
+	var r SyncReply
+	switch {
+	case req.Mask != 0:
+		r = c.difference(req, page)
+		r.Served = page
+		r.Facts = append(r.Facts, c.self)
+	case req.Compare:
+		r.Equal = req.Root == c.digest.root
+		if !r.Equal {
+			r.Buckets = slices.Clone(c.digest.buckets[:])
+		}
+	}
+	// A fact about the asker that is newer than its own must be refuted.
+	if e, ok := c.members[req.Self.ID]; ok && e.fact.Supersedes(&req.Self) {
+		r.Facts = append(r.Facts, e.fact)
+	}
+	for _, t := range sortedKeys(c.news) {
+		r.News = append(r.News, c.news[t])
+	}
+	c.out = append(c.out, Answer{Reply: r})
+}
+
+// page cuts a mask down to the first buckets that fit into one reply.
+func (c *Core) page(mask uint64) uint64 {
+	for bits.OnesCount64(mask) > 1 && c.bytesIn(mask) > maxReply {
+		mask &^= 1 << (bits.Len64(mask) - 1)
+	}
+	return mask
+}
+
+// hints names a few members that a busy peer's asker can ask instead.
+func (c *Core) hints(asker string) []Fact {
+	out := []Fact{c.self}
+	for range maxHints {
+		if id := c.randomMember(); id != "" && id != asker {
+			out = append(out, c.members[id].fact)
+		}
+	}
+	return out
+}
+
+func (c *Core) bytesIn(mask uint64) int {
+	const typical = 80
+	return c.digest.count * typical * bits.OnesCount64(mask) / buckets
+}
+
+// inMask returns the members in the buckets of a mask, in the order of keys.
+func (c *Core) inMask(mask uint64) []*entry {
+	var out []*entry
+	for _, e := range c.members {
+		if mask>>bucketOf(e.key)&1 == 1 {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, byKey)
+	return out
+}
+
+// difference compares the asker's stamps with the own table. A member that
+// the asker has and this table lacks, or has in another version, is sent or
+// wanted; which of both facts is newer is decided where they meet.
+func (c *Core) difference(req *SyncRequest, page uint64) SyncReply {
+	var r SyncReply
+	theirs := make(map[uint32]uint32, len(req.Stamps))
+	for _, s := range req.Stamps {
+		theirs[s.Key] = s.Hash
+	}
+	for _, e := range c.inMask(page) {
+		hash, has := theirs[e.key]
+		delete(theirs, e.key)
+		gone := e.fact.Status.Gone()
+		switch {
+		case !has && gone:
+		case has && !gone && hash == e.fact.stamp(e.key):
+		case has:
+			r.Facts = append(r.Facts, e.fact)
+			r.Want = append(r.Want, e.key)
+		default:
+			r.Facts = append(r.Facts, e.fact)
+		}
+	}
+	for key := range theirs {
+		r.Want = append(r.Want, key)
+	}
+	slices.Sort(r.Want)
+	return r
+}
+
+// synced takes the reply to an own request in and asks further.
+func (c *Core) synced(now clock.Milli, s Synced) {
+	if s.Reply.Busy {
+		for _, f := range s.Reply.Facts {
+			c.merge(now, f)
+		}
+		c.syncFailed(now, SyncFailed{Peer: s.Peer, Request: s.Request})
+		return
+	}
+	var stale []Fact
+	for _, f := range s.Reply.Facts {
+		c.merge(now, f)
+		// The peer is told of what is known better here, deaths above all.
+		if e, ok := c.members[f.ID]; ok && e.fact.Supersedes(&f) && e.fact.ID != c.self.ID {
+			stale = append(stale, e.fact)
+		}
+	}
+	for _, n := range s.Reply.News {
+		c.learnNews(now, n)
+	}
+	c.joining.done(s.Reply.Served)
+	switch {
+	case len(s.Reply.Buckets) == buckets:
+		c.askDifferent(now, s)
+	case len(s.Request.Stamps) > 0 || s.Request.Mask != 0:
+		c.pushWanted(s, stale)
+	}
+	c.continueJoin(now)
+}
+
+func (c *Core) askDifferent(now clock.Milli, s Synced) {
+	var mask uint64
+	start := c.opts.Rand.IntN(buckets)
+	for i := range buckets {
+		b := (start + i) % buckets
+		if s.Reply.Buckets[b] != c.digest.buckets[b] && bits.OnesCount64(mask) < bucketsPerAsk {
+			mask |= 1 << b
+		}
+	}
+	// Tables that differ are compared again sooner than equal ones.
+	c.nextCompare = min(c.nextCompare, now+clock.Milli(0.5+c.opts.Rand.Float64())*differentEvery)
+	if mask == 0 || !c.opts.Allowance.Allow(now, c.planned, Ordinary) {
+		return
+	}
+	req := SyncRequest{Self: c.self, Mask: mask}
+	for _, e := range c.inMask(mask) {
+		if !e.fact.Status.Gone() {
+			req.Stamps = append(req.Stamps, Stamp{Key: e.key, Hash: e.fact.stamp(e.key)})
+		}
+	}
+	c.out = append(c.out, Ask{Peer: s.Peer, Request: req})
+}
+
+// pushWanted sends the peer the facts that it wanted or has too old.
+func (c *Core) pushWanted(s Synced, stale []Fact) {
+	for _, e := range c.inMask(s.Request.Mask) {
+		if _, ok := slices.BinarySearch(s.Reply.Want, e.key); ok {
+			stale = append(stale, e.fact)
+		}
+	}
+	if len(stale) == 0 {
+		return
+	}
+	slices.SortFunc(stale, func(a, b Fact) int { return cmp.Compare(a.ID, b.ID) })
+	stale = slices.CompactFunc(stale, func(a, b Fact) bool { return a.ID == b.ID })
+	c.out = append(c.out, Ask{Peer: s.Peer, Request: SyncRequest{Facts: stale}})
+}
+
+// compare starts anti-entropy with a random local member and, on relays, with
+// a relay elsewhere. One dead member is pinged too, so that two halves of a
+// data centre that took each other for dead meet again.
+func (c *Core) compare(now clock.Milli) {
+	c.refresh()
+	if near := c.randomLocal(1, ""); len(near) > 0 {
+		c.askCompare(near[0].fact.ID)
+	} else if id := c.randomMember(); id != "" {
+		c.askCompare(id)
+	}
+	if peers := c.relayPlaces(); len(peers) > 0 {
+		place := peers[c.opts.Rand.IntN(len(peers))]
+		c.askCompare(place[c.opts.Rand.IntN(len(place))].fact.ID)
+	}
+	c.pingDead(now)
+}
+
+// randomMember returns some live member of any data centre.
+func (c *Core) randomMember() string {
+	var ids []string
+	for _, e := range c.inMask(math.MaxUint64) {
+		if !e.fact.Status.Gone() && e.fact.ID != c.self.ID {
+			ids = append(ids, e.fact.ID)
+		}
+	}
+	if len(ids) == 0 {
+		return ""
+	}
+	return ids[c.opts.Rand.IntN(len(ids))]
+}
+
+func (c *Core) askCompare(peer string) {
+	c.out = append(c.out, Ask{Peer: peer, Request: SyncRequest{Self: c.self, Compare: true, Root: c.digest.root}})
+}
+
+func (c *Core) pingDead(now clock.Milli) {
+	var dead *entry
+	seen := 0
+	for _, e := range c.inMask(math.MaxUint64) {
+		if e.fact.Status == Dead && e.fact.Centre == c.self.Centre {
+			if seen++; c.opts.Rand.IntN(seen) == 0 {
+				dead = e
+			}
+		}
+	}
+	if dead != nil {
+		c.tell(now, dead.fact)
+	}
+}
