entry: hedge slow lookups and prove calls under link failures

Adds internal/bench/mesh, which runs an entry, guards and upstreams in one process with links that tests hold or reset.

Hedges start from a timer, so a call that is not hedged starts no goroutine. Retries wait for the policy's delay. Probes are answered by the guard within a budget per upstream. Trailers of requests are announced in CallStart.

--- /dev/null
+++ b/internal/bench/mesh/link.go
@@ -0,0 +1,137 @@
+package mesh
+
+import (
+	"net"
+	"sync"
+	"testing"
+)
+
+// Direction is one way through a link.
+type Direction int
+
+// The directions.
+const (
+	// ToGuard carries requests.
+	ToGuard Direction = iota
+	// ToEntry carries responses.
+	ToEntry
+)
+
+const linkBuffer = 32 << 10
+
+// Link forwards TCP connections and can hold back or reset them.
+type Link struct {
+	listener net.Listener
+	to       string
+
+	mu    sync.Mutex
+	cond  *sync.Cond
+	held  [2]bool
+	conns map[*net.TCPConn]bool
+	wg    sync.WaitGroup
+}
+
+// NewLink returns a link to the address that closes with the test.
+func NewLink(tb testing.TB, to string) *Link {
+	tb.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	k := &Link{listener: l, to: to, conns: make(map[*net.TCPConn]bool)}
+	k.cond = sync.NewCond(&k.mu)
+	k.wg.Add(1)
+	go k.run()
+	tb.Cleanup(func() {
+		_ = l.Close()
+		k.Release()
+		k.Reset()
+		k.wg.Wait()
+	})
+	return k
+}
+
+// Address is where the link accepts connections.
+func (k *Link) Address() string {
+	return k.listener.Addr().String()
+}
+
+// Hold stops the bytes of one direction until Release.
+func (k *Link) Hold(d Direction) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.held[d] = true
+}
+
+// Release lets held bytes of both directions pass.
+func (k *Link) Release() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.held = [2]bool{}
+	k.cond.Broadcast()
+}
+
+// Reset resets all connections and drops the bytes that are held. Later
+// connections are not affected by an earlier Hold.
+func (k *Link) Reset() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+		delete(k.conns, c)
+	}
+	k.held = [2]bool{}
+	k.cond.Broadcast()
+}
+
+func (k *Link) run() {
+	defer k.wg.Done()
+	for {
+		in, err := k.listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", k.to)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		a, _ := in.(*net.TCPConn)
+		b, _ := out.(*net.TCPConn)
+		k.mu.Lock()
+		k.conns[a], k.conns[b] = true, true
+		k.mu.Unlock()
+		k.wg.Add(2)
+		go k.loop(a, b, ToGuard)
+		go k.loop(b, a, ToEntry)
+	}
+}
+
+// loop copies one direction of a connection.
+func (k *Link) loop(src, dst *net.TCPConn, d Direction) {
+	defer k.wg.Done()
+	defer func() { _ = dst.CloseWrite() }()
+	buf := make([]byte, linkBuffer)
+	for {
+		n, err := src.Read(buf)
+		if err != nil || !k.pass(src, d) {
+			return
+		}
+		if _, err := dst.Write(buf[:n]); err != nil {
+			_ = src.Close()
+			return
+		}
+	}
+}
+
+// pass waits while the direction is held. It reports false for a connection
+// that was reset meanwhile.
+func (k *Link) pass(c *net.TCPConn, d Direction) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for k.held[d] && k.conns[c] {
+		k.cond.Wait()
+	}
+	return k.conns[c]
+}
--- /dev/null
+++ b/internal/bench/mesh/upstream.go
@@ -0,0 +1,78 @@
+package mesh
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+)
+
+// RawUpstream accepts connections and passes every request to serve, which
+// writes the bytes of the response itself. It reports false to close the
+// connection.
+func RawUpstream(tb testing.TB, serve func(c *net.TCPConn, r *http.Request) bool) string {
+	tb.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	u := &rawUpstream{listener: l, serve: serve, conns: make(map[net.Conn]bool)}
+	u.wg.Add(1)
+	go u.run()
+	tb.Cleanup(u.close)
+	return l.Addr().String()
+}
+
+type rawUpstream struct {
+	listener net.Listener
+	serve    func(c *net.TCPConn, r *http.Request) bool
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	wg       sync.WaitGroup
+}
+
+func (u *rawUpstream) close() {
+	_ = u.listener.Close()
+	u.mu.Lock()
+	for c := range u.conns {
+		_ = c.Close()
+	}
+	u.mu.Unlock()
+	u.wg.Wait()
+}
+
+func (u *rawUpstream) run() {
+	defer u.wg.Done()
+	for {
+		c, err := u.listener.Accept()
+		if err != nil {
+			return
+		}
+		u.mu.Lock()
+		u.conns[c] = true
+		u.mu.Unlock()
+		u.wg.Add(1)
+		go u.loop(c)
+	}
+}
+
+func (u *rawUpstream) loop(c net.Conn) {
+	defer u.wg.Done()
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		tcp, _ := c.(*net.TCPConn)
+		if !u.serve(tcp, r) {
+			return
+		}
+	}
+}
--- a/internal/path/entry/attempt.go
+++ b/internal/path/entry/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/assert"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
@@ -13,40 +14,51 @@
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
 
-// fenceTimeout bounds the wait for proof that a request was not run.
-const fenceTimeout = 500 * clock.Millisecond
-
 // attempt runs a call on one target.
 type attempt struct {
 	tries  *tries
-	target *call.Target
+	target call.Target
+	choice call.Reason
 	began  clock.Milli
+	hedge  bool
 	stream *link.Stream
+	stop   func() bool
 	clean  bool
-	// replied is set when the caller's response was started.
-	replied bool
+	// head is the start of the response, once it has arrived.
+	head *wire.ReplyHead
+	// lost is set before the attempt is interrupted because another one of
+	// the same call was answered first.
+	lost atomic.Bool
 }
 
-func (a *attempt) run(ctx context.Context) call.Result {
+// open sends the request and waits for a refusal or the start of the response.
+func (a *attempt) open(ctx context.Context) call.Result {
 	st, err := a.tries.entry.pool.Stream(ctx, a.target.ID)
 	if err != nil {
-		return a.failed(call.NotRun, call.ReasonLinkFailed)
+		res := a.failed(call.NotRun, a.reason(ctx, call.ReasonLinkFailed))
+		res.Failed = res.Reason != call.ReasonCancelled
+		return res
 	}
 	a.stream = st
-	stop := context.AfterFunc(ctx, st.Interrupt)
-	defer func() {
-		if stop() && a.clean {
-			st.Session().Release(st)
-			return
-		}
-		st.Close()
-	}()
+	a.stop = context.AfterFunc(ctx, st.Interrupt)
 	if err := st.Send(a.start()); err != nil {
 		return a.broken(ctx)
 	}
 	return a.receive(ctx)
 }
 
+// close gives the stream back if it can be used for more calls.
+func (a *attempt) close() {
+	if a.stream == nil {
+		return
+	}
+	if a.stop() && a.clean {
+		a.stream.Session().Release(a.stream)
+		return
+	}
+	a.stream.Close()
+}
+
 func (a *attempt) start() *wire.Frame {
 	t := a.tries
 	r := t.request
@@ -65,7 +77,9 @@
 		SentAt:           float64(t.entry.clock.Now()),
 		ContentLength:    t.body.length,
 		GuardIncarnation: a.target.Incarnation,
+		Hedge:            a.hedge,
 		EntryCentre:      t.entry.self.Centre,
+		Trailers:         t.body.trailers,
 	}
 	if t.body.complete {
 		c.Body = t.body.head
@@ -83,7 +97,7 @@
 		}
 		switch b := f.GetBody().(type) {
 		case *wire.Frame_Admitted:
-			if !a.own(b.Admitted.GetId()) {
+			if a.tries.body.complete || a.tries.body.sent || !a.own(b.Admitted.GetId()) {
 				return a.failed(call.Unknown, call.ReasonLinkBroken)
 			}
 			a.tries.body.sent = true
@@ -92,7 +106,15 @@
 		case *wire.Frame_Refused:
 			return a.refused(b.Refused)
 		case *wire.Frame_ReplyHead:
-			return a.reply(b.ReplyHead)
+			if !a.own(b.ReplyHead.GetId()) {
+				return a.failed(call.Unknown, call.ReasonLinkBroken)
+			}
+			a.head = b.ReplyHead
+			return call.Result{
+				Outcome: call.Answered,
+				Failed:  a.head.GetStatus() >= http.StatusInternalServerError,
+				Latency: a.tries.entry.clock.Now() - a.began,
+			}
 		default:
 			return a.failed(call.Unknown, call.ReasonLinkBroken)
 		}
@@ -136,15 +158,9 @@
 // broken handles a link that broke after the request was sent. For a request
 // that may not repeat, the guard is asked to fence it.
 func (a *attempt) broken(ctx context.Context) call.Result {
-	reason := call.ReasonLinkBroken
-	if ctx.Err() != nil {
-		reason = call.ReasonDeadline
-		if a.tries.in.Context().Err() != nil {
-			reason = call.ReasonCancelled
-		}
-	}
+	reason := a.reason(ctx, call.ReasonLinkBroken)
 	res := a.failed(call.Unknown, reason)
-	// A slow caller or deadline is no proof against the target.
+	// A caller that leaves is no evidence against the target.
 	res.Failed = reason != call.ReasonCancelled
 	if a.tries.request.Repeatable || reason == call.ReasonCancelled {
 		return res
@@ -155,105 +171,14 @@
 	return res
 }
 
-// fence asks the guard over a new link to never run the request. It reports
-// whether the guard proved that it did not run.
-func (a *attempt) fence() bool {
-	e := a.tries.entry
-	if a.stream.Session().Closed() {
-		e.pool.Drop(a.target.ID, a.stream.Session())
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout.Duration())
-	defer cancel()
-	st, err := e.pool.Stream(ctx, a.target.ID)
-	if err != nil {
-		return false
-	}
-	defer st.Close()
-	st.SetReadTimeout(fenceTimeout)
-	r := a.tries.request
-	err = st.Send(&wire.Frame{Body: &wire.Frame_Fence{Fence: &wire.Fence{
-		Id:          r.ID[:],
-		Incarnation: a.target.Incarnation,
-		Deadline:    float64(r.Deadline),
-		SentAt:      float64(e.clock.Now()),
-	}}})
-	if err != nil {
-		return false
-	}
-	f, err := st.Receive()
-	if err != nil || f.GetFenceReply() == nil || !a.own(f.GetFenceReply().GetId()) {
-		return false
-	}
-	out := call.Outcome(f.GetFenceReply().GetOutcome())
-	e.log.Info().Str("request", r.ID.String()).Str("target", a.target.ID).Str("outcome", out.String()).Msg("call_fenced")
-	return out == call.NotRun
-}
-
-// reply passes the response on to the caller.
-func (a *attempt) reply(h *wire.ReplyHead) call.Result {
-	if !a.own(h.GetId()) {
-		return a.failed(call.Unknown, call.ReasonLinkBroken)
-	}
-	t := a.tries
-	now := t.entry.clock.Now()
-	res := call.Result{
-		Outcome: call.Answered,
-		Failed:  h.GetStatus() >= http.StatusInternalServerError,
-		Latency: now - a.began,
-	}
-	a.replied = true
-	header.Decode(t.out.Header(), h.GetHeaders())
-	t.writeHead(int(h.GetStatus()))
-	end, whole := a.copyBody(h)
-	res.View = link.DecodeView(end.GetView(), t.entry.clock.Now())
-	d := t.decision(call.Answered, call.ReasonNone, int(h.GetStatus()))
-	if !whole {
-		res.Failed = true
-		d.Reason = call.ReasonUpstreamFailed
-		t.service.done(now, a.target.ID, res)
-		t.entry.note(d)
-		// The only way to tell the caller that the response is cut short.
-		panic(http.ErrAbortHandler)
-	}
-	a.clean = t.body.complete
-	t.entry.note(d)
-	return res
-}
-
-// copyBody copies the response body and reports whether it is whole.
-func (a *attempt) copyBody(h *wire.ReplyHead) (*wire.ReplyEnd, bool) {
-	t := a.tries
-	rc := http.NewResponseController(t.out)
-	streaming := h.GetContentLength() < 0
-	var length int64
-	for {
-		f, err := a.stream.Receive()
-		if err != nil {
-			return nil, false
-		}
-		if c := f.GetBodyChunk(); c != nil {
-			length += int64(len(c.GetData()))
-			if _, err := t.out.Write(c.GetData()); err != nil {
-				return nil, false
-			}
-			if streaming {
-				_ = rc.Flush()
-			}
-			continue
-		}
-		end := f.GetReplyEnd()
-		if end == nil || !a.own(end.GetId()) || end.GetError() != "" {
-			return end, false
-		}
-		setTrailers(t.out.Header(), end.GetTrailers())
-		return end, length == end.GetLength()
-	}
-}
-
-func setTrailers(h http.Header, trailers []*wire.Header) {
-	for _, tr := range trailers {
-		for _, v := range tr.GetValues() {
-			h.Add(http.TrailerPrefix+tr.GetName(), v)
-		}
+// reason explains a failure, which is other than the link's own if ctx ended.
+func (a *attempt) reason(ctx context.Context, otherwise call.Reason) call.Reason {
+	switch {
+	case ctx.Err() == nil:
+		return otherwise
+	case a.tries.in.Context().Err() != nil || a.lost.Load():
+		return call.ReasonCancelled
+	default:
+		return call.ReasonDeadline
 	}
 }
--- a/internal/path/entry/body.go
+++ b/internal/path/entry/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
@@ -19,15 +20,23 @@
 	length   int64
 	// sent is set once a part that can't be sent again has left.
 	sent bool
+	// trailers are the announced names; source has their values once the body
+	// was read.
+	trailers []string
+	source   *http.Request
 }
 
 func readBody(hr *http.Request) (*body, error) {
-	b := &body{rest: hr.Body, length: hr.ContentLength}
+	b := &body{rest: hr.Body, length: hr.ContentLength, source: hr}
+	for name := range hr.Trailer {
+		b.trailers = append(b.trailers, name)
+	}
 	if hr.Body == nil || hr.Body == http.NoBody || hr.ContentLength == 0 {
 		b.complete = true
 		return b, nil
 	}
-	if hr.ContentLength > link.MaxInlineBytes {
+	// Trailers travel with the last chunk, so such a body is never inline.
+	if hr.ContentLength > link.MaxInlineBytes || len(b.trailers) > 0 {
 		return b, nil
 	}
 	head, err := io.ReadAll(io.LimitReader(hr.Body, link.MaxInlineBytes))
@@ -55,8 +64,11 @@
 		if n == 0 && !last {
 			continue
 		}
-		f := &wire.Frame{Body: &wire.Frame_BodyChunk{BodyChunk: &wire.BodyChunk{Data: buf[:n], Last: last}}}
-		if err := st.Send(f); err != nil {
+		chunk := &wire.BodyChunk{Data: buf[:n], Last: last}
+		if last && len(b.trailers) > 0 {
+			chunk.Trailers = header.Encode(b.source.Trailer)
+		}
+		if err := st.Send(&wire.Frame{Body: &wire.Frame_BodyChunk{BodyChunk: chunk}}); err != nil {
 			return err
 		}
 		if last {
--- a/internal/path/entry/entry.go
+++ b/internal/path/entry/entry.go
@@ -13,10 +13,14 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/policy"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/retry"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 )
 
+// graceBody is how long after the deadline a caller's body is still read.
+const graceBody = clock.Second
+
 // Roster knows the targets of each service. Version changes with the targets.
 type Roster interface {
 	Targets(service string) []call.Target
@@ -42,7 +46,9 @@
 	Reason   call.Reason
 	Status   int
 	Attempts int
-	Latency  clock.Milli
+	// Retried says that the retries of the call are spent.
+	Retried bool
+	Latency clock.Milli
 }
 
 // Entry serves callers. It is safe for concurrent use.
@@ -54,6 +60,8 @@
 	roster   Roster
 	rules    Rules
 	seed     uint64
+	retrier  func() Retrier
+	prober   Prober
 	record   func(Decision)
 	mu       sync.RWMutex
 	services map[string]*service
@@ -74,6 +82,11 @@
 	return func(e *Entry) { e.record = f }
 }
 
+// WithRetry replaces the source of retry policies, one for each service.
+func WithRetry(f func() Retrier) Option {
+	return func(e *Entry) { e.retrier = f }
+}
+
 // WithSeed makes request ids and choices repeatable.
 func WithSeed(seed uint64) Option {
 	return func(e *Entry) { e.seed = seed }
@@ -89,6 +102,7 @@
 		roster:   roster,
 		rules:    rules,
 		seed:     rand.Uint64(),
+		retrier:  func() Retrier { return retry.New() },
 		record:   func(Decision) {},
 		services: make(map[string]*service),
 	}
@@ -113,11 +127,14 @@
 		e.reject(w, r, call.ReasonUnknownService)
 		return
 	}
-	// The caller may take its time to send the body, but not longer than the
-	// call may last; the server's own limits cover only the header.
-	rc := http.NewResponseController(w)
-	limit := time.Now().Add((r.Deadline - now).Duration())
-	_ = rc.SetReadDeadline(limit.Add(graceAfterDeadline.Duration()))
+	if hr.ContentLength != 0 {
+		// The server's own limits cover only the header. An expired read
+		// deadline also cancels the request's context, which must not happen
+		// before the call's own deadline.
+		limit := time.Now().Add((r.Deadline - now + graceBody).Duration())
+		_ = http.NewResponseController(w).SetReadDeadline(limit)
+	}
+	e.probe(now, svc)
 	t := &tries{entry: e, service: svc, request: r, in: hr, out: w, began: now}
 	t.run()
 }
@@ -140,7 +157,7 @@
 	if s = e.services[name]; s != nil {
 		return s
 	}
-	s = newService(name, rand.New(rand.NewPCG(e.seed, uint64(len(e.services))+1)))
+	s = newService(name, rand.New(rand.NewPCG(e.seed, uint64(len(e.services))+1)), e.retrier())
 	// An unknown service is not kept, so that callers can't grow the map.
 	if len(e.roster.Targets(name)) > 0 {
 		e.services[name] = s
@@ -169,7 +186,7 @@
 	if d.Outcome == call.NotRun && d.Status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", "1")
 	}
-	if d.Attempts > 1 {
+	if d.Retried {
 		h.Set(header.Retried, "1")
 	}
 	http.Error(w, "request "+d.Request.ID.String()+" "+d.Outcome.String()+": "+d.Reason.String(), d.Status)
--- /dev/null
+++ b/internal/path/entry/fence.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"context"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+// fenceTimeout bounds the wait for proof that a request was not run.
+const fenceTimeout = 500 * clock.Millisecond
+
+// fence asks the guard over a new link to never run the request. It reports
+// whether the guard proved that it did not run.
+func (a *attempt) fence() bool {
+	e := a.tries.entry
+	if a.stream.Session().Closed() {
+		e.pool.Drop(a.target.ID, a.stream.Session())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout.Duration())
+	defer cancel()
+	st, err := e.pool.Stream(ctx, a.target.ID)
+	if err != nil {
+		return false
+	}
+	defer st.Close()
+	st.SetReadTimeout(fenceTimeout)
+	r := a.tries.request
+	err = st.Send(&wire.Frame{Body: &wire.Frame_Fence{Fence: &wire.Fence{
+		Id:          r.ID[:],
+		Incarnation: a.target.Incarnation,
+		Deadline:    float64(r.Deadline),
+		SentAt:      float64(e.clock.Now()),
+	}}})
+	if err != nil {
+		return false
+	}
+	f, err := st.Receive()
+	if err != nil || f.GetFenceReply() == nil || !a.own(f.GetFenceReply().GetId()) {
+		return false
+	}
+	out := call.Outcome(f.GetFenceReply().GetOutcome())
+	e.log.Info().Str("request", r.ID.String()).Str("target", a.target.ID).Str("outcome", out.String()).Msg("call_fenced")
+	return out == call.NotRun
+}
--- a/internal/path/entry/service.go
+++ b/internal/path/entry/service.go
@@ -10,6 +10,15 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/retry"
 )
 
+// Retrier decides on retries and hedges of one service. Its methods are never
+// called at the same time.
+type Retrier interface {
+	First(now clock.Milli)
+	Decide(now clock.Milli, a retry.Attempt) retry.Verdict
+	HedgeAfter(now clock.Milli, a retry.Attempt) (clock.Milli, bool)
+	Hedged(now clock.Milli)
+}
+
 // service is the state of the entry for one service. Its lock guards the
 // decision types, which are not safe for concurrent use.
 type service struct {
@@ -17,14 +26,14 @@
 
 	mu      sync.Mutex
 	picker  *pick.Picker
-	retry   *retry.Policy
+	retry   Retrier
 	loaded  bool
 	version uint64
 	count   int
 }
 
-func newService(name string, r *rand.Rand) *service {
-	return &service{name: name, picker: pick.New(r), retry: retry.New()}
+func newService(name string, r *rand.Rand, policy Retrier) *service {
+	return &service{name: name, picker: pick.New(r), retry: policy}
 }
 
 // empty loads the targets and reports whether there is none.
@@ -47,9 +56,11 @@
 }
 
 // choose returns a copy of the chosen target and counts the call to it.
-func (s *service) choose(now clock.Milli, q pick.Query, first bool) (call.Target, call.Reason, bool) {
+func (s *service) choose(now clock.Milli, q pick.Query, r Roster, first bool) (call.Target, call.Reason, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// A retry must see targets that joined or left during the first attempt.
+	s.load(now, r)
 	if first {
 		s.retry.First(now)
 	}
@@ -77,3 +88,24 @@
 	defer s.mu.Unlock()
 	return s.retry.Decide(now, a)
 }
+
+// hedgeAfter asks when an attempt may be hedged.
+func (s *service) hedgeAfter(now clock.Milli, a retry.Attempt) (clock.Milli, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retry.HedgeAfter(now, a)
+}
+
+// hedged counts a hedge.
+func (s *service) hedged(now clock.Milli) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retry.Hedged(now)
+}
+
+// observe takes in a view from a probe.
+func (s *service) observe(now clock.Milli, v call.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.Observe(now, v)
+}
--- a/internal/path/entry/tries.go
+++ b/internal/path/entry/tries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
@@ -30,8 +31,13 @@
 	// unknown is set when an attempt may have run the request; it stays set,
 	// whatever later attempts prove of themselves.
 	unknown bool
-	target  *call.Target
-	choice  call.Reason
+	// spent is set when the retry budget stopped the call.
+	spent bool
+	// last is the result of the last attempt.
+	last       call.Result
+	restricted call.Reason
+	target     *call.Target
+	choice     call.Reason
 }
 
 func (t *tries) run() {
@@ -48,44 +54,76 @@
 		if !again {
 			return
 		}
-		if stop := t.settle(res); stop {
+		if stop := t.settle(ctx, res); stop {
 			return
 		}
 	}
 }
 
-// attempt runs one attempt. It reports false when the call is over.
+// attempt runs one attempt and perhaps its hedge. It reports false when the
+// call is over.
 func (t *tries) attempt(ctx context.Context) (bool, call.Result) {
-	e := t.entry
-	now := e.clock.Now()
-	allow, restricted := e.rules.Allow(now, t.request)
-	q := pick.Query{Request: t.request, Centre: e.self.Centre, Region: e.self.Region, Tried: t.tried, Allow: allow}
-	target, reason, ok := t.service.choose(now, q, t.attempts == 0)
+	now := t.entry.clock.Now()
+	q := t.query(now, t.tried)
+	target, reason, ok := t.service.choose(now, q, t.entry.roster, t.attempts == 0)
 	if !ok {
-		if restricted != call.ReasonNone {
-			reason = restricted
-		}
-		t.end(call.NotRun, reason)
+		t.endUnchosen(q, reason)
 		return false, call.Result{}
 	}
 	t.attempts++
-	t.target, t.choice = &target, reason
 	t.tried = append(t.tried, target.ID)
-	a := &attempt{tries: t, target: &target, began: now}
-	res := a.run(ctx)
-	t.service.done(e.clock.Now(), target.ID, res)
-	return !a.replied, res
+	a := &attempt{tries: t, target: target, choice: reason, began: now}
+	h, ctx := t.hedged(ctx, a)
+	res := a.open(ctx)
+	if h != nil {
+		defer h.release()
+		a, res = h.settle(res)
+	}
+	t.target, t.choice = &a.target, a.choice
+	if a.head != nil {
+		a.reply(res)
+		return false, res
+	}
+	if !a.hedge {
+		t.service.done(t.entry.clock.Now(), a.target.ID, res)
+		a.close()
+	}
+	t.last = res
+	return true, res
+}
+
+func (t *tries) query(now clock.Milli, tried []string) pick.Query {
+	e := t.entry
+	allow, restricted := e.rules.Allow(now, t.request)
+	if allow != nil {
+		t.restricted = restricted
+	}
+	return pick.Query{Request: t.request, Centre: e.self.Centre, Region: e.self.Region, Tried: tried, Allow: allow}
+}
+
+// endUnchosen ends a call for which there is no further target. The reason of
+// the last attempt says more than the lack of another target.
+func (t *tries) endUnchosen(q pick.Query, reason call.Reason) {
+	out := call.NotRun
+	switch {
+	case t.attempts > 0:
+		out, reason = t.last.Outcome, t.last.Reason
+	case q.Allow != nil && t.restricted != call.ReasonNone:
+		reason = t.restricted
+	}
+	t.end(out, reason)
 }
 
 // settle decides what follows an attempt without a response. It reports true
 // when the call is over.
-func (t *tries) settle(res call.Result) bool {
+func (t *tries) settle(ctx context.Context, res call.Result) bool {
 	if res.Outcome == call.Unknown {
 		t.unknown = true
 	}
 	now := t.entry.clock.Now()
 	v := t.service.decide(now, retry.Attempt{Request: t.request, Result: res, Number: t.attempts, Started: t.began})
-	if !v.Retry || t.body.sent || t.in.Context().Err() != nil {
+	if !v.Retry || t.body.sent || !t.pause(ctx, v.Delay) {
+		t.spent = v.Reason == call.ReasonRetryBudget
 		reason := res.Reason
 		if reason == call.ReasonNone {
 			reason = v.Reason
@@ -98,6 +136,25 @@
 	return false
 }
 
+// pause waits before the next attempt. It reports false if the call ends
+// before that.
+func (t *tries) pause(ctx context.Context, d clock.Milli) bool {
+	if t.in.Context().Err() != nil || t.entry.clock.Now()+d >= t.request.Deadline {
+		return false
+	}
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // end answers the caller after the last attempt.
 func (t *tries) end(out call.Outcome, reason call.Reason) {
 	if t.unknown {
@@ -127,6 +184,7 @@
 		Reason:   reason,
 		Status:   status,
 		Attempts: t.attempts,
+		Retried:  t.attempts > 1 || t.spent,
 		Latency:  now - t.began,
 	}
 }
--- a/internal/path/guard/guard.go
+++ b/internal/path/guard/guard.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
@@ -39,6 +40,7 @@
 	upstream *upstream
 	gate     Gate
 	sample   func(Sample)
+	probes   *rate.Limiter
 
 	mu      sync.Mutex
 	admit   *admit.Admitter
@@ -82,6 +84,7 @@
 		upstream: newUpstream(addr, self.Connections),
 		gate:     func(clock.Milli, *call.Request) call.Reason { return call.ReasonNone },
 		sample:   func(Sample) {},
+		probes:   rate.NewLimiter(defaultProbeRate, defaultProbeBurst),
 		admit:    admit.New(self.Slots),
 		ledger:   ledger.New(),
 		waiting:  make(map[call.ID]chan admit.Action),
@@ -104,6 +107,11 @@
 	s.serve(ctx, first)
 }
 
+// Close closes the idle connections to the upstream.
+func (g *Guard) Close() {
+	g.upstream.transport.CloseIdleConnections()
+}
+
 // Leave refuses all new calls from now on.
 func (g *Guard) Leave() {
 	g.mu.Lock()
--- a/internal/wire/link/pool.go
+++ b/internal/wire/link/pool.go
@@ -27,14 +27,18 @@
 	return &Pool{self: self, clock: clk, sessions: make(map[string]*Session)}
 }
 
-// Stream returns a stream to the daemon at addr, over the session in use or a
-// new one.
+// Stream returns a stream for calls to the daemon at addr, over the session in
+// use or a new one.
 func (p *Pool) Stream(ctx context.Context, addr string) (*Stream, error) {
+	return p.stream(ctx, addr, callStream)
+}
+
+func (p *Pool) stream(ctx context.Context, addr string, k kind) (*Stream, error) {
 	s, err := p.session(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	st, err := s.Open()
+	st, err := s.open(k)
 	if err == nil {
 		return st, nil
 	}
@@ -43,12 +47,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.Open()
+	return s.open(k)
 }
 
 // Control sends a control message and returns the reply's payload.
 func (p *Pool) Control(ctx context.Context, addr string, kind wire.ControlKind, payload []byte) ([]byte, error) {
-	st, err := p.Stream(ctx, addr)
+	st, err := p.stream(ctx, addr, controlStream)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/link/session.go
+++ b/internal/wire/link/session.go
@@ -50,9 +50,19 @@
 	offset *Offset
 
 	mu   sync.Mutex
-	idle []*Stream
+	idle [kinds][]*Stream
 }
 
+// kind separates streams by their use. A guard that serves calls on a stream
+// does not understand control messages on it.
+type kind int
+
+const (
+	callStream kind = iota
+	controlStream
+	kinds
+)
+
 // Peer returns the identity of the other side.
 func (s *Session) Peer() Peer {
 	return s.peer
@@ -63,12 +73,12 @@
 	return s.offset
 }
 
-// Open returns an idle stream or a new one.
-func (s *Session) Open() (*Stream, error) {
+// open returns an idle stream or a new one.
+func (s *Session) open(k kind) (*Stream, error) {
 	s.mu.Lock()
-	if n := len(s.idle); n > 0 {
-		st := s.idle[n-1]
-		s.idle = s.idle[:n-1]
+	if n := len(s.idle[k]); n > 0 {
+		st := s.idle[k][n-1]
+		s.idle[k] = s.idle[k][:n-1]
 		s.mu.Unlock()
 		return st, nil
 	}
@@ -77,7 +87,9 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrClosed, err.Error())
 	}
-	return newStream(conn, s), nil
+	st := newStream(conn, s)
+	st.kind = k
+	return st, nil
 }
 
 // Release keeps a stream for reuse. Only a stream whose last exchange ended
@@ -86,11 +98,11 @@
 	st.SetReadTimeout(0)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.idle) >= maxIdleStreams || s.mux.IsClosed() {
+	if len(s.idle[st.kind]) >= maxIdleStreams || s.mux.IsClosed() {
 		st.Close()
 		return
 	}
-	s.idle = append(s.idle, st)
+	s.idle[st.kind] = append(s.idle[st.kind], st)
 }
 
 // Closed reports whether the session can't be used any more.
--- a/internal/wire/link/stream.go
+++ b/internal/wire/link/stream.go
@@ -47,6 +47,7 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	session *Session
+	kind    kind
 }
 
 func newStream(conn net.Conn, s *Session) *Stream {
