--- a/internal/path/guard/guard.go
+++ b/internal/path/guard/guard.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
@@ -40,6 +41,7 @@
 	gate     Gate
 	sample   func(Sample)
 	started  func(now clock.Milli, r *call.Request)
+	probes   *rate.Limiter
 
 	mu      sync.Mutex
 	admit   *admit.Admitter
@@ -89,6 +91,7 @@
 		gate:     func(clock.Milli, *call.Request) call.Reason { return call.ReasonNone },
 		sample:   func(Sample) {},
 		started:  func(clock.Milli, *call.Request) {},
+		probes:   rate.NewLimiter(defaultProbeRate, defaultProbeBurst),
 		admit:    admit.New(self.Slots),
 		ledger:   ledger.New(),
 		waiting:  make(map[call.ID]chan admit.Action),
@@ -111,6 +114,11 @@
 	s.serve(ctx, first)
 }
 
+// Close closes the idle connections to the upstream.
+func (g *Guard) Close() {
+	g.upstream.transport.CloseIdleConnections()
+}
+
 // Leave refuses all new calls from now on.
 func (g *Guard) Leave() {
 	g.mu.Lock()
