daemon: join the fleet over gossip and fall back from a new version

Daemons find first peers in the log and join through the membership; parts of a fleet that never met are joined from announcements. Cause of refused calls in the demo: a request that belongs to a new version without usable targets was refused (23 of 5,575 calls), and a call that a guard refused because its data centre is out was tried in the same data centre again (9 calls). The first now falls back to the old version, the second leaves that data centre, and neither is charged to the retry budget.

--- a/cmd/demo/check.go
+++ b/cmd/demo/check.go
@@ -75,8 +75,7 @@
 	if err != nil {
 		return err
 	}
-	var problems []string
-	problems = append(problems, s.checkAnswers()...)
+	problems := s.checkAnswers()
 	problems = append(problems, s.checkRuns(runs)...)
 	problems = append(problems, s.checkCentre(runs)...)
 	problems = append(problems, s.checkMoves(exceptions.Items)...)
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -27,11 +27,7 @@
 	if _, err := flags.Parse(&o); err != nil {
 		os.Exit(2)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	if err := run(ctx, o); err != nil {
+	if err := run(o); err != nil {
 		fmt.Println("result=failed")
 		fmt.Fprintln(os.Stderr, "demo:", err)
 		os.Exit(1)
@@ -39,7 +35,11 @@
 	fmt.Println("result=ok")
 }
 
-func run(ctx context.Context, o options) error {
+func run(o options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	w, err := newWorld(o)
 	if err != nil {
 		return err
--- a/internal/bench/mesh/mesh.go
+++ b/internal/bench/mesh/mesh.go
@@ -172,6 +172,11 @@
 	return m.settings
 }
 
+// Fallback implements entry.Rules.
+func (m *Mesh) Fallback(clock.Milli, *call.Request) func(*call.Target) bool {
+	return nil
+}
+
 // Allow implements entry.Rules.
 func (m *Mesh) Allow(clock.Milli, *call.Request) (func(*call.Target) bool, call.Reason) {
 	return nil, call.ReasonNone
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -85,6 +85,11 @@
 	if r := refusal(now, a); r != call.ReasonNone {
 		return Verdict{Reason: r, Final: a.Request.Retried || a.Number > 1}
 	}
+	// The guard refused for a rule that this entry had not heard of. Another
+	// target costs no upstream any work, so the budget is not charged.
+	if misdirected(a.Result.Reason) {
+		return Verdict{Retry: true, Reason: call.ReasonRetry, Final: true}
+	}
 	if p.tokens < 1 {
 		return Verdict{Reason: call.ReasonRetryBudget, Final: true}
 	}
@@ -124,6 +129,17 @@
 	}
 }
 
+// misdirected reports whether a call was refused because its target must not
+// take new work at all.
+func misdirected(r call.Reason) bool {
+	switch r {
+	case call.ReasonCentreOut, call.ReasonLeaving, call.ReasonWrongService:
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *Policy) learn(a Attempt) {
 	if a.Request.Class != call.Interactive {
 		return
--- a/internal/moves/shift/table.go
+++ b/internal/moves/shift/table.go
@@ -48,6 +48,16 @@
 	return !isNew
 }
 
+// New reports whether a version is the new one of a move.
+func (t *Table) New(service, version string) bool {
+	for i := range t.rows {
+		if t.rows[i].service == service && t.rows[i].version == version {
+			return true
+		}
+	}
+	return false
+}
+
 // Share returns the share of the new version of a move.
 func (t *Table) Share(move string) float64 {
 	for i := range t.rows {
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/applog"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/follow"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/budget"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/centre"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/shift"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/entry"
@@ -43,7 +44,9 @@
 	public  *httpServer
 	admin   *httpServer
 	ready   readiness
-	fleet   *announcer
+	fleet   *fleet
+	seeds   *seeds
+	meter   *budget.Meter
 	conf    *follow.Follower
 	mover   *mover
 	explain *explainer
@@ -57,10 +60,18 @@
 	id := link.Identity{Fleet: cfg.Node.Fleet, Member: d.self.ID, Incarnation: d.self.Incarnation}
 	d.pool = link.NewPool(id, clk)
 	logs := applog.NewHTTP(cfg.Log.URL)
-	d.fleet = newAnnouncer(logs, d.self, clk, log)
+	limit := budget.NewLimiter(clk.Now())
+	d.meter = budget.NewMeter(clk, limit)
+	d.seeds = &seeds{self: d.self.ID, log: logs, clock: clk, asked: make(map[string]clock.Milli)}
+	var err error
+	d.fleet, err = newFleet(cfg.Node.Fleet, d.self, clk, log, d.meter, limit, syncer{pool: d.pool}, d.seeds)
+	if err != nil {
+		return nil, err
+	}
 	d.conf = follow.New(logs, d.confPeers, func(o *follow.Options) {
 		o.Member, o.Clock, o.Logger = d.self.ID, clk, log
 	})
+	d.seeds.fleet, d.seeds.conf = d.fleet, d.conf
 	d.explain = &explainer{daemon: d, store: report.NewStore(clk.Now(), report.Options{})}
 	d.build()
 	d.peers = &peerServer{server: link.NewServer(id, clk, d.handlers()...)}
@@ -93,6 +104,7 @@
 		link.WithLogger(d.log),
 		link.WithMaxSessions(d.cfg.Limits.Peers),
 		link.WithCalls(d.guard.Handle),
+		link.WithControl(wire.ControlKind_CONTROL_KIND_SYNC, d.fleet.serveSync),
 		link.WithControl(wire.ControlKind_CONTROL_KIND_REVISIONS, answer(d.exchange)),
 		link.WithControl(wire.ControlKind_CONTROL_KIND_REPORT, answer(d.explain.answer)),
 		link.WithControl(wire.ControlKind_CONTROL_KIND_STATUS, answer(d.mover.status)),
@@ -154,7 +166,7 @@
 		EventHook: func(e suture.Event) { d.log.Warn().Str("detail", e.String()).Msg("supervisor") },
 		Timeout:   time.Second,
 	})
-	for _, s := range []suture.Service{d.peers, d.public, d.admin, d.guard, d.fleet, d.conf, d.mover} {
+	for _, s := range []suture.Service{d.peers, d.public, d.admin, d.guard, d.fleet, d.seeds, d.conf, d.mover} {
 		sup.Add(s)
 	}
 	runCtx, cancel := context.WithCancel(context.Background())
--- a/internal/node/daemon/rules.go
+++ b/internal/node/daemon/rules.go
@@ -47,6 +47,19 @@
 	return allow, reason
 }
 
+// Fallback implements entry.Rules. A request that belongs to a new version
+// without usable targets is served by the old one, which is always within the
+// new version's cap.
+func (r *rules) Fallback(now clock.Milli, req *call.Request) func(*call.Target) bool {
+	if len(r.Config().Exceptions) == 0 {
+		return nil
+	}
+	gate, table := r.gate.Load(), r.table.Load()
+	return func(t *call.Target) bool {
+		return gate.Allow(now, t.Centre, req.ID) && !table.New(t.Service, t.Version)
+	}
+}
+
 // check implements guard.Gate. The guard refuses by itself what entries that
 // have not heard of a change still send.
 func (r *rules) check(now clock.Milli, req *call.Request) call.Reason {
--- a/internal/node/daemon/stop.go
+++ b/internal/node/daemon/stop.go
@@ -42,10 +42,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.Stop.Timeout.Duration())
 	defer cancel()
 	d.guard.Leave()
-	d.fleet.leave(ctx)
+	d.fleet.shell.Leave()
 	time.Sleep(d.cfg.Stop.Notice.Duration())
 	entryErr := d.public.server.Shutdown(ctx)
 	left := d.guard.Drain(ctx)
+	d.fleet.shell.Gone(ctx)
 	time.Sleep(linger.Duration())
 	if !assert.That(entryErr == nil && left == 0, assert.GracefulStop, "%d calls in the guard left, entry: %v", left, entryErr) {
 		return errors.Wrapf(ErrStopTimeout, "%d calls interrupted in the guard, entry: %v", left, entryErr)
--- a/internal/path/entry/entry.go
+++ b/internal/path/entry/entry.go
@@ -34,6 +34,9 @@
 	// Allow returns a filter for the targets of a request and the reason that
 	// it applies, or nil.
 	Allow(now clock.Milli, r *call.Request) (func(*call.Target) bool, call.Reason)
+	// Fallback returns the filter for a request that found no target with
+	// Allow, or nil if there is no other.
+	Fallback(now clock.Milli, r *call.Request) func(*call.Target) bool
 }
 
 // Decision is one finished call, for counters and reports.
--- a/internal/path/entry/hedge_test.go
+++ b/internal/path/entry/hedge_test.go
@@ -127,6 +127,7 @@
 // levels of a call chain.
 func TestRetryRules(t *testing.T) {
 	refuse := []guard.Option{guard.WithGate(refuseAll)}
+	out := []guard.Option{guard.WithGate(func(clock.Milli, *call.Request) call.Reason { return call.ReasonCentreOut })}
 	below := func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(header.Retried, "1")
 		w.Header().Set(header.Outcome, call.NotRun.String())
@@ -143,6 +144,7 @@
 		"delay is waited for":        {policy{delay: 60}, mesh.Spec{Guard: refuse}, 2, "1", 60 * time.Millisecond},
 		"delay beyond the deadline":  {policy{delay: 5000}, mesh.Spec{Guard: refuse}, 1, "", 0},
 		"budget is spent":            {policy{spent: true}, mesh.Spec{Guard: refuse}, 1, "1", 0},
+		"data centre is out":         {policy{}, mesh.Spec{Guard: out}, 1, "", 0},
 		"refusal from a lower level": {policy{}, mesh.Spec{Handler: below}, 1, "1", 0},
 	}
 	for name, tt := range tests {
--- a/internal/path/entry/tries.go
+++ b/internal/path/entry/tries.go
@@ -66,6 +66,9 @@
 	now := t.entry.clock.Now()
 	q := t.query(now, t.tried)
 	target, reason, ok := t.service.choose(now, q, t.entry.roster, t.attempts == 0)
+	if !ok {
+		target, reason, ok = t.fallBack(now, q)
+	}
 	if !ok {
 		t.endUnchosen(q, reason)
 		return false, call.Result{}
@@ -98,7 +101,7 @@
 	if allow != nil {
 		t.restricted = restricted
 	}
-	return pick.Query{Request: t.request, Centre: e.self.Centre, Region: e.self.Region, Tried: tried, Allow: allow}
+	return pick.Query{Request: t.request, Centre: e.self.Centre, Region: e.self.Region, Tried: tried, Allow: t.outside(allow)}
 }
 
 // endUnchosen ends a call for which there is no further target. The reason of
