--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 # Tests listed in KNOWN-RED.txt as "test: TestName" are printed and not run.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 
-.PHONY: all build tools generate fmt lint test demo measure-policy measure-moves
+.PHONY: all build tools generate fmt lint test demo measure-policy measure-moves soak
 
 all: build
 
@@ -52,3 +52,7 @@
 # Data centre and version moves, in virtual time.
 measure-moves:
 	$(GO) run ./cmd/measure-moves
+
+# Real processes under random faults.
+soak: build
+	$(BIN)/soak --bin $(BIN) --seed $(SEED) --minutes $(MINUTES)
--- a/cmd/demo/check.go
+++ b/cmd/demo/check.go
@@ -1,15 +1,14 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"sort"
 	"strings"
 	"time"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/bench/world"
+
 	"github.com/pkg/errors"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/admin/server"
@@ -17,27 +16,21 @@
 )
 
 // spoil makes an upstream fail a part of its requests.
-func (s *story) spoil(ctx context.Context, n *node) error {
-	b, err := json.Marshal(upstream.Faults{FailRate: brokenPortion})
-	if err != nil {
-		return err
-	}
+func (s *story) spoil(ctx context.Context, n *world.Node) error {
 	for ctx.Err() == nil {
-		resp, err := http.Post("http://"+n.upstream+"/faults", "application/json", bytes.NewReader(b))
-		if err == nil {
-			_ = resp.Body.Close()
+		if world.SetFaults(ctx, n.Upstream, upstream.Faults{FailRate: brokenPortion}) == nil {
 			return nil
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	return errors.Errorf("upstream %s did not start", n.name)
+	return errors.Errorf("upstream %s did not start", n.Name)
 }
 
 // waitMembers waits until the first daemon knows a number of members.
 func (s *story) waitMembers(ctx context.Context, want int) error {
 	for ctx.Err() == nil {
 		var page server.Page[server.Member]
-		if s.read(ctx, s.world.nodes[0], "/v1/members", &page) == nil && len(page.Items) >= want {
+		if s.world.Read(ctx, s.world.Nodes[0], "/v1/members", &page) == nil && len(page.Items) >= want {
 			return nil
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -45,41 +38,28 @@
 	return errors.Errorf("the daemons did not find each other, want %d members", want)
 }
 
-func (s *story) read(ctx context.Context, n *node, path string, v any) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.admin+path, nil)
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Authorization", "Bearer "+s.world.token)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return json.NewDecoder(resp.Body).Decode(v)
-}
-
 // finish prints the report and checks every promise.
 func (s *story) finish(ctx context.Context) error {
-	report, err := s.world.operate(ctx, s.world.nodes[2], "explain", "--last", "5m")
+	report, err := s.world.Operate(ctx, s.world.Nodes[2], "explain", "--last", "5m")
 	if err != nil {
 		return err
 	}
 	s.report = report
 	fmt.Println(report)
 	var exceptions server.Page[server.Exception]
-	if err := s.read(ctx, s.world.nodes[3], "/v1/exceptions", &exceptions); err != nil {
+	if err := s.world.Read(ctx, s.world.Nodes[3], "/v1/exceptions", &exceptions); err != nil {
 		return errors.Wrap(err, "read exceptions")
 	}
-	runs, err := s.runs(ctx)
+	runs, err := s.world.Runs(ctx)
 	if err != nil {
 		return err
 	}
 	problems := s.checkAnswers()
-	problems = append(problems, s.checkRuns(runs)...)
+	problems = append(problems, world.CompareRuns(s.traffic.All(), runs)...)
 	problems = append(problems, s.checkCentre(runs)...)
 	problems = append(problems, s.checkMoves(exceptions.Items)...)
-	problems = append(problems, s.world.stopDaemons()...)
+	problems = append(problems, s.world.StopDaemons()...)
+	problems = append(problems, s.world.Violations()...)
 	s.say("all daemons were stopped")
 	if len(problems) > 0 {
 		return errors.New(strings.Join(problems, "\n"))
@@ -87,42 +67,19 @@
 	return nil
 }
 
-// runs returns what each upstream ran.
-func (s *story) runs(ctx context.Context) (map[*node][]upstream.Run, error) {
-	out := make(map[*node][]upstream.Run)
-	for _, n := range s.world.nodes {
-		var runs []upstream.Run
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.upstream+"/runs", nil)
-		if err != nil {
-			return nil, err
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return nil, errors.Wrap(err, n.name)
-		}
-		err = json.NewDecoder(resp.Body).Decode(&runs)
-		_ = resp.Body.Close()
-		if err != nil {
-			return nil, errors.Wrap(err, n.name)
-		}
-		out[n] = runs
-	}
-	return out, nil
-}
-
 // checkAnswers prints what callers were told and checks that each answer is
 // whole and its own.
 func (s *story) checkAnswers() []string {
 	var problems []string
 	counts := make(map[string]int)
 	var took []time.Duration
-	for _, c := range s.traffic.all {
-		counts[fmt.Sprintf("%s_%d_%s_%s", strings.ReplaceAll(c.kind, " ", "_"), c.status, c.outcome, c.reason)]++
-		if c.problem != "" {
-			problems = append(problems, fmt.Sprintf("%s %s: %s", c.kind, c.path, c.problem))
+	for _, c := range s.traffic.All() {
+		counts[fmt.Sprintf("%s_%d_%s_%s", strings.ReplaceAll(c.Kind, " ", "_"), c.Status, c.Outcome, c.Reason)]++
+		if c.Problem != "" {
+			problems = append(problems, fmt.Sprintf("%s %s: %s", c.Kind, c.Path, c.Problem))
 		}
-		if c.kind == "lookup" {
-			took = append(took, c.took)
+		if c.Kind == "lookup" {
+			took = append(took, c.Took)
 		}
 	}
 	for _, k := range sortedKeys(counts) {
@@ -132,40 +89,17 @@
 	if len(took) > 0 {
 		fmt.Printf("lookup_p50_ms=%.2f\nlookup_p99_ms=%.2f\n", ms(took[len(took)/2]), ms(took[len(took)*99/100]))
 	}
-	return head(problems)
-}
-
-// checkRuns compares what callers were told with what the upstreams ran.
-func (s *story) checkRuns(runs map[*node][]upstream.Run) []string {
-	ran := make(map[string]int)
-	for _, rs := range runs {
-		for _, r := range rs {
-			ran[r.Request]++
-		}
-	}
-	var problems []string
-	for _, c := range s.traffic.all {
-		n := ran[c.request]
-		switch {
-		case c.outcome == "not_run" && n > 0:
-			problems = append(problems, fmt.Sprintf("%s %s was reported as not run and ran %d times", c.kind, c.path, n))
-		case c.kind == "booking" && n > 1:
-			problems = append(problems, fmt.Sprintf("booking %s ran %d times", c.path, n))
-		case c.status == http.StatusOK && n == 0:
-			problems = append(problems, fmt.Sprintf("%s %s was answered and never ran", c.kind, c.path))
-		}
-	}
-	return head(problems)
+	return world.Head(problems)
 }
 
 // checkCentre checks that the data centre that was out got no new work.
-func (s *story) checkCentre(runs map[*node][]upstream.Run) []string {
+func (s *story) checkCentre(runs map[*world.Node][]upstream.Run) []string {
 	from := float64(s.outAt.Add(moveGrace).UnixMilli())
 	to := float64(s.backAt.UnixMilli())
 	late, after, last := 0, 0, 0.0
 	for n, rs := range runs {
 		for _, r := range rs {
-			if n.centre != outCentre {
+			if n.Centre != outCentre {
 				continue
 			}
 			switch {
@@ -223,12 +157,3 @@
 func ms(d time.Duration) float64 {
 	return float64(d) / float64(time.Millisecond)
 }
-
-// head bounds a list of problems.
-func head(problems []string) []string {
-	const most = 10
-	if len(problems) > most {
-		return append(problems[:most], fmt.Sprintf("and %d more", len(problems)-most))
-	}
-	return problems
-}
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/bench/world"
+
 	"github.com/jessevdk/go-flags"
 )
 
@@ -40,11 +42,11 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	w, err := newWorld(o)
+	w, err := world.New(world.Options{Bin: o.Bin, Keep: o.Keep})
 	if err != nil {
 		return err
 	}
-	defer w.close()
+	defer w.Close()
 	s := &story{world: w, began: time.Now()}
 	return s.run(ctx)
 }
--- a/cmd/demo/story.go
+++ b/cmd/demo/story.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/bench/world"
+
 	"github.com/pkg/errors"
 )
 
@@ -59,8 +61,8 @@
 
 // story runs the phases of the demo and remembers what it must check.
 type story struct {
-	world   *world
-	traffic *traffic
+	world   *world.World
+	traffic *world.Traffic
 	began   time.Time
 	outAt   time.Time
 	backAt  time.Time
@@ -77,13 +79,13 @@
 	}
 	sctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.traffic = newTraffic(s.world)
+	s.traffic = world.NewTraffic(s.world)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		tctx, stop := context.WithTimeout(sctx, trafficLasts)
 		defer stop()
-		s.traffic.run(tctx)
+		s.traffic.Run(tctx)
 	}()
 	if err := s.operate(ctx, time.Now()); err != nil {
 		return err
@@ -96,23 +98,23 @@
 func (s *story) setUp(ctx context.Context) error {
 	centres := []string{"cluj", "brasov", outCentre}
 	for i := range 8 {
-		if _, err := s.world.add("booking", "1", centres[i%len(centres)]); err != nil {
+		if _, err := s.world.Add("booking", "1", centres[i%len(centres)]); err != nil {
 			return err
 		}
 	}
 	for i := range 3 {
-		if _, err := s.world.add("media", "1", centres[i%len(centres)]); err != nil {
+		if _, err := s.world.Add("media", "1", centres[i%len(centres)]); err != nil {
 			return err
 		}
 	}
-	if err := s.world.waitReady(ctx); err != nil {
+	if err := s.world.WaitReady(ctx); err != nil {
 		return err
 	}
-	if err := s.waitMembers(ctx, len(s.world.nodes)); err != nil {
+	if err := s.waitMembers(ctx, len(s.world.Nodes)); err != nil {
 		return err
 	}
 	s.say("11 upstreams with a daemon each run in 3 data centres")
-	if err := s.world.document(ctx, s.world.nodes[0], "defaults.toml", defaultsDocument); err != nil {
+	if err := s.world.Publish(ctx, s.world.Nodes[0], "defaults.toml", defaultsDocument); err != nil {
 		return err
 	}
 	s.say("the operators published the fleet-wide defaults")
@@ -143,7 +145,7 @@
 }
 
 func (s *story) takeOut(ctx context.Context) error {
-	out, err := s.world.operate(ctx, s.world.nodes[0], "move", "out", outCentre,
+	out, err := s.world.Operate(ctx, s.world.Nodes[0], "move", "out", outCentre,
 		"--reason", "The cooling of the data centre is being repaired today.")
 	s.outAt = time.Now()
 	s.say("data centre %s was taken out\n%s", outCentre, out)
@@ -151,7 +153,7 @@
 }
 
 func (s *story) takeBack(ctx context.Context) error {
-	out, err := s.world.operate(ctx, s.world.nodes[1], "move", "back", outCentre,
+	out, err := s.world.Operate(ctx, s.world.Nodes[1], "move", "back", outCentre,
 		"--reason", "The cooling works again and was tested.")
 	s.backAt = time.Now()
 	s.say("data centre %s was returned\n%s", outCentre, out)
@@ -167,7 +169,7 @@
 		{"version", "media", badVersion, "--id", badMoveID, "--reason", "The new version stores wall scans in a smaller format."},
 	} {
 		m = append(m, "--finish-by", finish, "--unproven-cap", "0.2")
-		out, err := s.world.operate(ctx, s.world.nodes[0], m...)
+		out, err := s.world.Operate(ctx, s.world.Nodes[0], m...)
 		if err != nil {
 			return err
 		}
@@ -175,10 +177,10 @@
 	}
 	for i := range 2 {
 		centre := []string{"cluj", "brasov"}[i]
-		if _, err := s.world.add("booking", goodVersion, centre); err != nil {
+		if _, err := s.world.Add("booking", goodVersion, centre); err != nil {
 			return err
 		}
-		bad, err := s.world.add("media", badVersion, centre)
+		bad, err := s.world.Add("media", badVersion, centre)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,55 @@
+// Command soak runs a deployment of real processes under random faults and
+// compares what callers were told with what the upstreams ran.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/bench/world"
+)
+
+type options struct {
+	Bin     string  `long:"bin" default:"bin" description:"directory of the programs"`
+	Keep    string  `long:"keep" description:"directory to keep the logs of all processes in"`
+	Seed    uint64  `long:"seed" default:"1" description:"seed of the faults"`
+	Minutes float64 `long:"minutes" default:"5" description:"how long faults are injected"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Println("result=failed")
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+	fmt.Println("result=ok")
+}
+
+func run(o options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	w, err := world.New(world.Options{Bin: o.Bin, Keep: o.Keep})
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	s := &soak{
+		world: w,
+		rand:  rand.New(rand.NewPCG(o.Seed, 1)),
+		span:  time.Duration(o.Minutes * float64(time.Minute)),
+		busy:  make(map[*world.Node]bool),
+	}
+	fmt.Printf("seed=%d\nminutes=%.2f\n", o.Seed, o.Minutes)
+	return s.run(ctx)
+}
--- a/cmd/demo/traffic.go
+++ b/internal/bench/world/traffic.go
@@ -1,4 +1,4 @@
-package main
+package world
 
 import (
 	"bytes"
@@ -24,42 +24,48 @@
 	uploadBytes       = 400 << 10
 )
 
-// sent is one request of the demo and what its caller was told.
-type sent struct {
-	kind    string
-	path    string
-	began   time.Time
-	took    time.Duration
-	status  int
-	outcome string
-	reason  string
-	request string
-	hash    string
-	problem string
+// Sent is one request and what its caller was told.
+type Sent struct {
+	Kind    string
+	Path    string
+	Began   time.Time
+	Took    time.Duration
+	Status  int
+	Outcome string
+	Reason  string
+	Request string
+	Hash    string
+	// Problem says what is wrong with the answer, empty for nothing.
+	Problem string
+	// Repeatable says that the request may run more than once.
+	Repeatable bool
+	// At is the daemon whose entry took the request.
+	At *Node
 }
 
-// traffic sends requests at a fixed rate, whatever the answers.
-type traffic struct {
-	world  *world
+// Traffic sends requests at a fixed rate, whatever the answers.
+type Traffic struct {
+	world  *World
 	client *http.Client
 	rand   *rand.Rand
 
 	mu  sync.Mutex
-	all []sent
+	all []Sent
 	wg  sync.WaitGroup
 }
 
-func newTraffic(w *world) *traffic {
+// NewTraffic returns traffic to the entries of a world.
+func NewTraffic(w *World) *Traffic {
 	t := &http.Transport{MaxIdleConnsPerHost: 64}
-	return &traffic{world: w, client: &http.Client{Transport: t, Timeout: 10 * time.Second}, rand: rand.New(rand.NewPCG(1, 2))}
+	return &Traffic{world: w, client: &http.Client{Transport: t, Timeout: 10 * time.Second}, rand: rand.New(rand.NewPCG(1, 2))}
 }
 
-// run sends until ctx ends and waits for the last answers.
-func (t *traffic) run(ctx context.Context) {
+// Run sends until ctx ends and waits for the last answers.
+func (t *Traffic) Run(ctx context.Context) {
 	total := lookupsPerSecond + bookingsPerSecond + uploadsPerSecond + checksPerSecond
 	tick := time.NewTicker(time.Second / time.Duration(total))
 	defer tick.Stop()
-	entries := append([]*node(nil), t.world.nodes...)
+	entries := append([]*Node(nil), t.world.Nodes...)
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -73,13 +79,14 @@
 }
 
 type outgoing struct {
-	kind, method, host, path, entry string
-	body                            []byte
-	class                           string
+	kind, method, host, path string
+	at                       *Node
+	body                     []byte
+	class                    string
 }
 
-func (t *traffic) next(n, draw int, at *node) outgoing {
-	o := outgoing{kind: "lookup", method: http.MethodGet, host: "booking", path: fmt.Sprintf("/schedule/%d", n), entry: at.entry}
+func (t *Traffic) next(n, draw int, at *Node) outgoing {
+	o := outgoing{kind: "lookup", method: http.MethodGet, host: "booking", path: fmt.Sprintf("/schedule/%d", n), at: at}
 	switch {
 	case draw < bookingsPerSecond:
 		o.kind, o.method, o.path, o.body = "booking", http.MethodPost, fmt.Sprintf("/bookings/%d", n), []byte(`{"wall":4}`)
@@ -94,11 +101,11 @@
 	return o
 }
 
-func (t *traffic) send(o outgoing) {
-	s := sent{kind: o.kind, path: o.path, began: time.Now()}
-	req, err := http.NewRequest(o.method, "http://"+o.entry+o.path, bytes.NewReader(o.body))
+func (t *Traffic) send(o outgoing) {
+	s := Sent{Kind: o.kind, Path: o.path, Began: time.Now(), At: o.at, Repeatable: o.method == http.MethodGet}
+	req, err := http.NewRequest(o.method, "http://"+o.at.Entry+o.path, bytes.NewReader(o.body))
 	if err != nil {
-		s.problem = err.Error()
+		s.Problem = err.Error()
 		t.keep(s)
 		return
 	}
@@ -108,38 +115,45 @@
 	}
 	resp, err := t.client.Do(req)
 	if err != nil {
-		s.problem = err.Error()
+		s.Problem = err.Error()
 		t.keep(s)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	s.took = time.Since(s.began)
-	s.status, s.outcome = resp.StatusCode, resp.Header.Get(header.Outcome)
-	s.reason, s.request = resp.Header.Get(header.Reason), resp.Header.Get(header.RequestID)
+	s.Took = time.Since(s.Began)
+	s.Status, s.Outcome = resp.StatusCode, resp.Header.Get(header.Outcome)
+	s.Reason, s.Request = resp.Header.Get(header.Reason), resp.Header.Get(header.RequestID)
 	sum := sha256.Sum256(o.body)
-	s.hash = hex.EncodeToString(sum[:])
+	s.Hash = hex.EncodeToString(sum[:])
 	if err != nil {
-		s.problem = "response cut short: " + err.Error()
-	} else if s.status == http.StatusOK {
-		s.problem = compare(body, s)
+		s.Problem = "response cut short: " + err.Error()
+	} else if s.Status == http.StatusOK {
+		s.Problem = compare(body, s)
 	}
 	t.keep(s)
 }
 
 // compare checks that the answer belongs to the request.
-func compare(body []byte, s sent) string {
+func compare(body []byte, s Sent) string {
 	var echo struct{ Request, Path, SHA256 string }
 	if err := json.Unmarshal(body, &echo); err != nil {
 		return "answer is not whole: " + err.Error()
 	}
-	if echo.Request != s.request || echo.Path != s.path || echo.SHA256 != s.hash {
+	if echo.Request != s.Request || echo.Path != s.Path || echo.SHA256 != s.Hash {
 		return "answer belongs to another request"
 	}
 	return ""
 }
 
-func (t *traffic) keep(s sent) {
+// All returns the requests that have ended.
+func (t *Traffic) All() []Sent {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Sent(nil), t.all...)
+}
+
+func (t *Traffic) keep(s Sent) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.all = append(t.all, s)
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -75,7 +75,7 @@
 	d.explain = &explainer{daemon: d, store: report.NewStore(clk.Now(), report.Options{})}
 	d.build()
 	d.peers = &peerServer{server: link.NewServer(id, clk, d.handlers()...)}
-	d.public = newPublicServer(cfg, d.entry)
+	d.public = newPublicServer(cfg, d.entry, &d.ready)
 	d.admin = newAdminServer(cfg, d)
 	return d, d.listen()
 }
@@ -89,7 +89,7 @@
 		guard.WithSample(func(s guard.Sample) { counts.add(d.clock.Now(), s, d.guard.View().Cold) }))
 	d.entry = entry.New(d.self, d.clock, d.pool, d.fleet, rules, entry.WithLogger(d.log), entry.WithRecord(d.explain.record))
 	d.mover = &mover{
-		self: d.self, clock: d.clock, log: d.log, pool: d.pool, conf: d.conf, fleet: d.fleet,
+		self: d.self, clock: d.clock, log: d.log, control: d.control(), conf: d.conf, fleet: d.fleet,
 		guard: d.guard, counts: counts, rules: rules, store: d.explain.store,
 		sending: make(chan struct{}, sendAtOnce),
 		centres: centre.New(centre.WithRamp(d.cfg.Moves.Ramp)), shifts: shift.New(d.self.ID),
@@ -105,13 +105,17 @@
 		link.WithMaxSessions(d.cfg.Limits.Peers),
 		link.WithCalls(d.guard.Handle),
 		link.WithControl(wire.ControlKind_CONTROL_KIND_SYNC, d.fleet.serveSync),
-		link.WithControl(wire.ControlKind_CONTROL_KIND_REVISIONS, answer(d.exchange)),
-		link.WithControl(wire.ControlKind_CONTROL_KIND_REPORT, answer(d.explain.answer)),
-		link.WithControl(wire.ControlKind_CONTROL_KIND_STATUS, answer(d.mover.status)),
-		link.WithControl(wire.ControlKind_CONTROL_KIND_EVIDENCE, answer(d.mover.evidence)),
+		handle(d.meter, wire.ControlKind_CONTROL_KIND_REVISIONS, d.exchange),
+		handle(d.meter, wire.ControlKind_CONTROL_KIND_REPORT, d.explain.answer),
+		handle(d.meter, wire.ControlKind_CONTROL_KIND_STATUS, d.mover.status),
+		handle(d.meter, wire.ControlKind_CONTROL_KIND_EVIDENCE, d.mover.evidence),
 	}
 }
 
+func (d *Daemon) control() control {
+	return control{pool: d.pool, meter: d.meter}
+}
+
 func (d *Daemon) exchange(_ context.Context, m *wire.ConfExchange) (*wire.ConfReply, error) {
 	return d.conf.Handle(m)
 }
@@ -122,7 +126,7 @@
 	out := make([]follow.Peer, 0, len(members))
 	for _, t := range members {
 		if t.ID != d.self.ID {
-			out = append(out, peer{pool: d.pool, id: t.ID})
+			out = append(out, peer{control: d.control(), id: t.ID})
 		}
 	}
 	return out
--- a/internal/node/daemon/evidence.go
+++ b/internal/node/daemon/evidence.go
@@ -73,7 +73,7 @@
 // loopSend delivers evidence to one member.
 func (m *mover) loopSend(ctx context.Context, id string, e *wire.Evidence) {
 	m.send(ctx, func(ctx context.Context) error {
-		return peer{pool: m.pool, id: id}.evidence(ctx, e)
+		return peer{control: m.control, id: id}.evidence(ctx, e)
 	})
 }
 
--- a/internal/node/daemon/explain.go
+++ b/internal/node/daemon/explain.go
@@ -88,7 +88,7 @@
 	out := []report.Source{e}
 	for _, t := range e.daemon.fleet.Members() {
 		if t.ID != e.daemon.self.ID {
-			out = append(out, peer{pool: e.daemon.pool, id: t.ID})
+			out = append(out, peer{control: e.daemon.control(), id: t.ID})
 		}
 	}
 	return out
--- a/internal/node/daemon/mover.go
+++ b/internal/node/daemon/mover.go
@@ -17,7 +17,6 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/centre"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/shift"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/guard"
-	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
 
@@ -42,7 +41,7 @@
 	self    call.Target
 	clock   clock.Clock
 	log     zerolog.Logger
-	pool    *link.Pool
+	control control
 	conf    follower
 	fleet   Membership
 	guard   *guard.Guard
--- a/internal/node/daemon/peers.go
+++ b/internal/node/daemon/peers.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/admin/report"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/budget"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
@@ -19,10 +21,29 @@
 	Members() []call.Target
 }
 
+// controlOverhead is what one control message costs beside its payload: the
+// headers of TCP, yamux and the frame in both directions.
+const controlOverhead = 160
+
+// spending says which part of the control budget each kind of message uses.
+var spending = map[wire.ControlKind]budget.Kind{
+	wire.ControlKind_CONTROL_KIND_REVISIONS: budget.Revision,
+	wire.ControlKind_CONTROL_KIND_EVIDENCE:  budget.Evidence,
+	wire.ControlKind_CONTROL_KIND_STATUS:    budget.Evidence,
+	wire.ControlKind_CONTROL_KIND_REPORT:    budget.Other,
+	wire.ControlKind_CONTROL_KIND_PROBE:     budget.Probe,
+}
+
+// control sends control messages and counts what they cost.
+type control struct {
+	pool  *link.Pool
+	meter *budget.Meter
+}
+
 // peer is another daemon, reached over the pool of links.
 type peer struct {
-	pool *link.Pool
-	id   string
+	control
+	id string
 }
 
 // ID implements follow.Peer.
@@ -67,19 +88,25 @@
 	if err != nil {
 		return errors.Wrap(err, "encode control message")
 	}
+	p.meter.Sent(spending[kind], len(b)+controlOverhead)
 	b, err = p.pool.Control(ctx, p.id, kind, b)
 	if err != nil {
 		return err
 	}
+	p.meter.Received(spending[kind], len(b)+controlOverhead)
 	return errors.Wrap(proto.Unmarshal(b, reply), "decode control reply")
 }
 
-// answer makes a control handler of a function on messages.
-func answer[Q any, PQ interface {
+// handle makes a control handler of a function on messages and counts what
+// it costs.
+func handle[Q any, PQ interface {
 	*Q
 	proto.Message
-}, R proto.Message](f func(context.Context, PQ) (R, error)) link.ControlHandler {
-	return func(ctx context.Context, _ link.Peer, payload []byte) ([]byte, error) {
+}, R proto.Message](m *budget.Meter, kind wire.ControlKind, f func(context.Context, PQ) (R, error)) link.ServerOption {
+	return link.WithControl(kind, func(ctx context.Context, _ link.Peer, payload []byte) ([]byte, error) {
+		start := time.Now()
+		defer m.Worked(spending[kind], start)
+		m.Received(spending[kind], len(payload)+controlOverhead)
 		q := PQ(new(Q))
 		if err := proto.Unmarshal(payload, q); err != nil {
 			return nil, errors.Wrap(err, "decode control message")
@@ -89,6 +116,7 @@
 			return nil, err
 		}
 		b, err := proto.Marshal(r)
+		m.Sent(spending[kind], len(b)+controlOverhead)
 		return b, errors.Wrap(err, "encode control reply")
-	}
+	})
 }
--- a/internal/node/daemon/servers.go
+++ b/internal/node/daemon/servers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"github.com/justinas/alice"
 	"github.com/pkg/errors"
 	"golang.org/x/net/netutil"
 
@@ -47,8 +48,20 @@
 	return err
 }
 
-func newPublicServer(cfg config.Config, handler http.Handler) *httpServer {
-	return &httpServer{server: baseServer(cfg, handler), limit: cfg.Limits.Callers}
+func newPublicServer(cfg config.Config, handler http.Handler, ready *readiness) *httpServer {
+	chain := alice.New(ready.closeWhenStopping)
+	return &httpServer{server: baseServer(cfg, chain.Then(handler)), limit: cfg.Limits.Callers}
+}
+
+// closeWhenStopping asks callers to close their connection with the answer, so
+// that few are idle when the server stops and a request could cross the close.
+func (r *readiness) closeWhenStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if !r.ok.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, req)
+	})
 }
 
 func baseServer(cfg config.Config, handler http.Handler) *http.Server {
--- a/internal/node/daemon/survey.go
+++ b/internal/node/daemon/survey.go
@@ -92,7 +92,7 @@
 	for _, id := range ids {
 		wg.Go(func() {
 			m.send(ctx, func(ctx context.Context) error {
-				s, err := peer{pool: m.pool, id: id}.status(ctx)
+				s, err := peer{control: m.control, id: id}.status(ctx)
 				if err != nil {
 					return err
 				}
