--- a/commands/registry.go
+++ b/commands/registry.go
@@ -55,7 +55,7 @@
 	sort.Slice(registered, func(i, j int) bool { return registered[i].name < registered[j].name })
 	for _, r := range registered {
 		if _, err := p.AddCommand(r.name, r.short, r.long, r.command); err != nil {
-			fmt.Fprintln(stderr, "command", r.name+":", err)
+			complain(errors.Wrap(err, "command "+r.name))
 			return ExitFailed
 		}
 	}
@@ -63,6 +63,11 @@
 	return exitCode(err)
 }
 
+// complain prints to standard error; a closed one can't be reported anywhere.
+func complain(err error) {
+	_, _ = fmt.Fprintln(stderr, err)
+}
+
 func exitCode(err error) int {
 	var usage *flags.Error
 	var exit *ExitError
@@ -70,16 +75,16 @@
 	case err == nil:
 		return ExitOK
 	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
-		fmt.Fprintln(stdout, usage.Message)
+		say("%s\n", usage.Message)
 		return ExitOK
 	case errors.As(err, &usage):
-		fmt.Fprintln(stderr, usage.Message)
+		complain(usage)
 		return ExitUsage
 	case errors.As(err, &exit):
-		fmt.Fprintln(stderr, exit.Err)
+		complain(exit.Err)
 		return exit.Code
 	default:
-		fmt.Fprintln(stderr, err)
+		complain(err)
 		return ExitFailed
 	}
 }
--- /dev/null
+++ b/internal/conf/fold/fold_test.go
@@ -0,0 +1,190 @@
+package fold_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/applog"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/fold"
+)
+
+const why = "The power supply is replaced on Tuesday night."
+
+func change(id string, base int64, body string) applog.Record {
+	return applog.Record{ID: id, Kind: applog.KindChange, Base: base, Author: "crew/ana", Body: []byte(body)}
+}
+
+func centreOut(id, name, centre string, base int64) applog.Record {
+	return change(id, base, fmt.Sprintf("document = \"exception\"\nid = %q\neffect = \"centre_out\"\nreason = %q\nscope.centre = %q", name, why, centre))
+}
+
+func move(id, name, version string, base int64) applog.Record {
+	return change(id, base, fmt.Sprintf("document = \"exception\"\nid = %q\neffect = \"version_move\"\nreason = %q\n"+
+		"scope = {service = \"plan\", version = %q}\nmove.finish_by = 2026-12-05T00:00:00Z", name, why, version))
+}
+
+func withdraw(id, name string, base int64) applog.Record {
+	r := change(id, base, fmt.Sprintf("document = \"withdrawal\"\nof = \"exception\"\nid = %q\nreason = %q", name, why))
+	r.Kind = applog.KindWithdraw
+	return r
+}
+
+func verdict(name, word string, revision, base int64) applog.Record {
+	r, err := fold.NewVerdict(fold.Verdict{Move: name, Revision: revision, Verdict: word, Evidence: "9 of 10 calls failed"}, base, "m1", 0)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// Guards against a change that is lost without a conflict, or refused
+// although it is unrelated to what changed since.
+func TestConflicts(t *testing.T) {
+	defaults := "document = \"defaults\"\ntimeout_ms = 900"
+	cases := map[string]struct {
+		records []applog.Record
+		want    []fold.Status
+		winner  string
+	}{
+		"same exception id":      {[]applog.Record{centreOut("a", "x", "north", 0), centreOut("b", "x", "south", 0)}, []fold.Status{fold.StatusAccepted, fold.StatusConflict}, "a"},
+		"same scope and effect":  {[]applog.Record{centreOut("a", "x", "north", 0), centreOut("b", "y", "north", 0)}, []fold.Status{fold.StatusAccepted, fold.StatusConflict}, "a"},
+		"unrelated on old base":  {[]applog.Record{centreOut("a", "x", "north", 0), centreOut("b", "y", "south", 0)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted}, ""},
+		"based on the other":     {[]applog.Record{centreOut("a", "x", "north", 0), centreOut("b", "x", "south", 1)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted}, ""},
+		"defaults twice":         {[]applog.Record{change("a", 0, defaults), change("b", 0, defaults)}, []fold.Status{fold.StatusAccepted, fold.StatusConflict}, "a"},
+		"same id twice":          {[]applog.Record{centreOut("a", "x", "north", 0), centreOut("a", "x", "north", 1)}, []fold.Status{fold.StatusAccepted, fold.StatusDuplicate}, ""},
+		"withdrawn meanwhile":    {[]applog.Record{centreOut("a", "x", "north", 0), withdraw("b", "x", 1), centreOut("c", "x", "south", 1)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusConflict}, "b"},
+		"withdrawn twice":        {[]applog.Record{centreOut("a", "x", "north", 0), withdraw("b", "x", 1), withdraw("c", "x", 1)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusConflict}, "b"},
+		"withdrawal of nothing":  {[]applog.Record{withdraw("a", "x", 0)}, []fold.Status{fold.StatusRefused}, ""},
+		"two moves of a service": {[]applog.Record{move("a", "x", "v2", 0), move("b", "y", "v3", 0)}, []fold.Status{fold.StatusAccepted, fold.StatusConflict}, "a"},
+		"second move later":      {[]applog.Record{move("a", "x", "v2", 0), move("b", "y", "v3", 1)}, []fold.Status{fold.StatusAccepted, fold.StatusRefused}, ""},
+		"move after verdict":     {[]applog.Record{move("a", "x", "v2", 0), verdict("x", fold.VerdictTakenBack, 1, 1), move("b", "y", "v3", 2)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusAccepted}, ""},
+		"second verdict":         {[]applog.Record{move("a", "x", "v2", 0), verdict("x", fold.VerdictTakenBack, 1, 1), verdict("x", fold.VerdictDone, 1, 1)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusConflict}, "verdict-x-1-taken_back"},
+		"same verdict twice":     {[]applog.Record{move("a", "x", "v2", 0), verdict("x", fold.VerdictDone, 1, 1), verdict("x", fold.VerdictDone, 1, 1)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusDuplicate}, ""},
+		"verdict on old move":    {[]applog.Record{move("a", "x", "v2", 0), move("b", "x", "v3", 1), verdict("x", fold.VerdictDone, 1, 2)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusRefused}, ""},
+		"base in the future":     {[]applog.Record{centreOut("a", "x", "north", 5)}, []fold.Status{fold.StatusRefused}, ""},
+		"bad document":           {[]applog.Record{change("a", 0, "weight = 1")}, []fold.Status{fold.StatusRefused}, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := fold.New()
+			var last fold.Effect
+			for i, r := range c.records {
+				last = s.Apply(int64(i+1), r)
+				g.Expect(last.Status).To(Equal(c.want[i]), "record %d: %s", i, last.Outcome.Detail)
+			}
+			g.Expect(last.Outcome.Winner).To(Equal(c.winner))
+		})
+	}
+}
+
+// Guards against a repetition that takes effect again after the window of
+// remembered ids has moved on.
+func TestOldRepetitionIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	s := fold.New()
+	first := centreOut("first", "x", "north", 0)
+	s.Apply(1, first)
+	s.Apply(2, withdraw("second", "x", 1))
+	r := rand.New(rand.NewPCG(1, 2))
+	for i := int64(3); i < fold.Window+10; i++ {
+		id := fmt.Sprintf("%016x%016x", r.Uint64(), r.Uint64())
+		s.Apply(i, centreOut(id, fmt.Sprintf("e%d", i%200), fmt.Sprintf("c%d", i%200), i-1))
+	}
+	e := s.Apply(fold.Window+10, first)
+	g.Expect(e.Status).To(Equal(fold.StatusRefused))
+	_, exists := s.Config().Exception("x")
+	g.Expect(exists).To(BeFalse())
+}
+
+// Guards against a table of first peers that grows, keeps daemons that left
+// or brings them back through an old announcement.
+func TestFirstPeers(t *testing.T) {
+	g := NewWithT(t)
+	s := fold.New()
+	n := int64(0)
+	say := func(kind applog.Kind, address string, incarnation int, at clock.Milli) {
+		n++
+		body := fmt.Sprintf(`{"address":%q,"centre":"north","incarnation":%d}`, address, incarnation)
+		s.Apply(n, applog.Record{ID: fmt.Sprint(n), Kind: kind, At: float64(at), Body: []byte(body)})
+	}
+	for i := range 6 {
+		say(applog.KindAnnounce, fmt.Sprintf("10.0.0.%d:1", i), 1, 0)
+	}
+	g.Expect(s.FirstPeers(0)).To(HaveLen(fold.PeersPerCentre))
+	say(applog.KindLeave, "10.0.0.5:1", 1, 0)
+	g.Expect(s.FirstPeers(0)).To(HaveLen(fold.PeersPerCentre - 1))
+	say(applog.KindAnnounce, "10.0.0.4:1", 3, clock.Hour)
+	say(applog.KindLeave, "10.0.0.4:1", 2, clock.Hour)
+	peers := s.FirstPeers(fold.PeerExpiry)
+	g.Expect(peers).To(HaveLen(1))
+	g.Expect(peers[0].Address).To(Equal("10.0.0.4:1"))
+	g.Expect(s.Config().Revision).To(BeZero())
+}
+
+func drawRecords(t *rapid.T) []applog.Record {
+	n := rapid.IntRange(1, 40).Draw(t, "records")
+	records := make([]applog.Record, 0, n)
+	for i := range n {
+		base := int64(rapid.IntRange(0, i).Draw(t, "base"))
+		id := fmt.Sprintf("id%d", rapid.IntRange(0, 30).Draw(t, "id"))
+		name := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "name")
+		centre := rapid.SampledFrom([]string{"north", "south"}).Draw(t, "centre")
+		switch rapid.IntRange(0, 5).Draw(t, "kind") {
+		case 0:
+			records = append(records, withdraw(id, name, base))
+		case 1:
+			records = append(records, move(id, name, centre, base))
+		case 2:
+			records = append(records, verdict(name, rapid.SampledFrom([]string{fold.VerdictDone, fold.VerdictTakenBack}).Draw(t, "word"), base, base))
+		case 3:
+			records = append(records, applog.Record{ID: id, Kind: applog.KindAnnounce, Body: fmt.Appendf(nil, `{"address":%q,"incarnation":%d}`, name, i)})
+		case 4:
+			records = append(records, applog.Record{ID: id, Kind: applog.KindSnapshot, Body: []byte("{}")})
+		default:
+			records = append(records, centreOut(id, name, centre, base))
+		}
+	}
+	return records
+}
+
+// Guards against daemons that come to different configurations although they
+// received the same records: in any order, repeated, with a snapshot anywhere.
+func TestSameRecordsSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		records := drawRecords(t)
+		want := fold.New()
+		for i, r := range records {
+			want.Apply(int64(i+1), r)
+		}
+		offsets := make([]int64, 0, 2*len(records))
+		for i := range records {
+			offsets = append(offsets, int64(i+1))
+		}
+		repeated := rapid.SliceOf(rapid.SampledFrom(offsets)).Draw(t, "repeated")
+		order := rapid.Permutation(append(offsets, repeated...)).Draw(t, "order")
+		cut := rapid.IntRange(0, len(order)).Draw(t, "cut")
+
+		q := fold.NewQueue(fold.New())
+		revision := int64(0)
+		for i, offset := range order {
+			if i == cut {
+				s, err := fold.Restore(q.State().Snapshot())
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(s.Hash()).To(Equal(q.State().Hash()))
+				q.Replace(s)
+			}
+			q.Offer(applog.Entry{Offset: offset, Record: records[offset-1]})
+			g.Expect(q.State().Config().Revision).To(BeNumerically(">=", revision))
+			revision = q.State().Config().Revision
+		}
+		g.Expect(q.Waiting()).To(BeFalse())
+		g.Expect(q.State().Hash()).To(Equal(want.Hash()))
+	})
+}
--- /dev/null
+++ b/internal/conf/follow/follow_test.go
@@ -0,0 +1,310 @@
+package follow_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/applog"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/fold"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/follow"
+	"gitlab.com/cranberrytack/cranberrytack/internal/stand/logsrv"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const soon = 5 * time.Second
+
+// fleet is a log with the daemons that follow it.
+type fleet struct {
+	t    *testing.T
+	log  *logsrv.Server
+	url  string
+	mu   sync.Mutex
+	list []*follow.Follower
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, log: logsrv.New()}
+	srv := httptest.NewServer(f.log.Handler())
+	t.Cleanup(srv.Close)
+	f.url = srv.URL
+	for range n {
+		f.add(f.url, true)
+	}
+	return f
+}
+
+func quick(o *follow.Options) {
+	o.PollEvery, o.ExchangeEvery, o.PeerTimeout = 30*time.Millisecond, 30*time.Millisecond, 200*time.Millisecond
+	o.SnapshotEvery, o.SnapshotSpread = 8, 600*time.Millisecond
+}
+
+// add starts a daemon; without peers it has the log alone.
+func (f *fleet) add(url string, withPeers bool) *follow.Follower {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	log := applog.NewHTTP(url, applog.WithTimeouts(150*time.Millisecond, 150*time.Millisecond))
+	name := fmt.Sprintf("m%d", len(f.list))
+	self := len(f.list)
+	peers := func() []follow.Peer {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		var out []follow.Peer
+		for i, to := range f.list {
+			if withPeers && i != self {
+				out = append(out, &follow.Local{Name: fmt.Sprintf("m%d", i), To: to})
+			}
+		}
+		return out
+	}
+	d := follow.New(log, peers, quick, func(o *follow.Options) {
+		o.Member = name
+		o.Rand = rand.New(rand.NewPCG(1, uint64(self)))
+	})
+	f.list = append(f.list, d)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = d.Serve(ctx); close(done) }()
+	f.t.Cleanup(func() { cancel(); <-done; log.Close() })
+	return d
+}
+
+func (f *fleet) ready() *fleet {
+	g := NewWithT(f.t)
+	for _, d := range f.list {
+		g.Eventually(func() bool { return d.Health().Ready }, soon, "5ms").Should(BeTrue())
+	}
+	return f
+}
+
+func out(id, centre string, base int64) applog.Record {
+	body := fmt.Sprintf("document = \"exception\"\nid = \"out-%s\"\neffect = \"centre_out\"\n"+
+		"reason = \"The power supply is replaced on Tuesday night.\"\nscope.centre = %q", centre, centre)
+	return applog.Record{ID: id, Kind: applog.KindChange, Base: base, Author: "crew/ana", Body: []byte(body)}
+}
+
+func publish(t *testing.T, d *follow.Follower, r applog.Record, within time.Duration) (fold.Outcome, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), within)
+	defer cancel()
+	return d.Publish(ctx, r)
+}
+
+func (f *fleet) fill(d *follow.Follower, n int) {
+	g := NewWithT(f.t)
+	for i := range n {
+		_, err := publish(f.t, d, out(fmt.Sprintf("fill%d", i), fmt.Sprintf("c%d", i), d.Config().Revision), soon)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+// Guards against an accepted change that does not come into force everywhere,
+// or that a fault of the log makes fail or take effect twice.
+func TestPublishUnderFaults(t *testing.T) {
+	cases := map[string]logsrv.Faults{
+		"healthy":         {},
+		"slow":            {SlowMS: 60},
+		"one ack lost":    {LoseAcks: 1},
+		"all acks lost":   {LoseAcks: -1},
+		"rate of appends": {AppendsPerSecond: 2},
+	}
+	for name, faults := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(t, 4).ready()
+			f.log.SetFaults(faults)
+			o, err := publish(t, f.list[0], out("a", "north", 0), soon)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(o.Status).To(Equal(fold.StatusAccepted))
+			g.Eventually(func() bool {
+				return f.list[1].Coverage(t.Context(), o.Offset).Everywhere()
+			}, soon, "10ms").Should(BeTrue())
+			again, err := publish(t, f.list[2], out("a", "north", 0), soon)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(again).To(Equal(o))
+			_, err = publish(t, f.list[2], out("a", "south", 0), soon)
+			g.Expect(err).To(Equal(&follow.OtherChangeError{ID: "a"}))
+			g.Expect(f.log.Entries()).To(HaveLen(1))
+		})
+	}
+}
+
+// Guards against two concurrent changes that both take effect or whose loser
+// is not told the winner.
+func TestRaceHasOneWinner(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, 3).ready()
+	var wg sync.WaitGroup
+	outcomes := make([]fold.Outcome, 3)
+	for i, d := range f.list {
+		wg.Go(func() { outcomes[i], _ = publish(t, d, out(fmt.Sprintf("r%d", i), "north", 0), soon) })
+	}
+	wg.Wait()
+	winner := ""
+	for _, o := range outcomes {
+		if o.Status == fold.StatusAccepted {
+			g.Expect(winner).To(BeEmpty())
+			winner = o.ID
+		}
+	}
+	g.Expect(winner).NotTo(BeEmpty())
+	for _, o := range outcomes {
+		if o.ID != winner {
+			g.Expect(o.Status).To(Equal(fold.StatusConflict))
+			g.Expect(o.Winner).To(Equal(winner))
+		}
+	}
+}
+
+// Guards against a change during an outage that is reported as failed or as
+// accepted, and against one that can't be resolved by its id afterwards.
+func TestOutageIsNotKnownYet(t *testing.T) {
+	cases := map[string]struct {
+		faults logsrv.Faults
+		sent   bool
+	}{
+		"down":                 {logsrv.Faults{Down: true}, false},
+		"slower than timeouts": {logsrv.Faults{SlowMS: 400}, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(t, 2).ready()
+			f.log.SetFaults(c.faults)
+			_, err := publish(t, f.list[0], out("a", "north", 0), 400*time.Millisecond)
+			var unknown *follow.NotKnownError
+			g.Expect(err).To(BeAssignableToTypeOf(unknown))
+			g.Expect(err.(*follow.NotKnownError).Sent).To(Equal(c.sent))
+			g.Expect(f.list[0].Config().Revision).To(BeZero())
+			f.log.SetFaults(logsrv.Faults{})
+			o, err := publish(t, f.list[1], out("a", "north", 0), soon)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(o.Status).To(Equal(fold.StatusAccepted))
+			found, err := f.list[0].Resolve(t.Context(), "a")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(found).To(Equal(o))
+			_, err = f.list[0].Resolve(t.Context(), "b")
+			g.Expect(err).To(BeAssignableToTypeOf(unknown))
+		})
+	}
+}
+
+// Guards against daemons that need the log although a peer has the revision:
+// running ones, and one that starts while the log can't be reached.
+func TestPeersReplaceTheLog(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, 1)
+	dead := "http://127.0.0.1:1"
+	for range 4 {
+		f.add(dead, true)
+	}
+	g.Eventually(func() bool { return f.list[0].Health().Ready }, soon).Should(BeTrue())
+	f.fill(f.list[0], 20)
+	f.add(dead, true)
+	for _, d := range f.list {
+		g.Eventually(func() int64 { return d.Config().Revision }, soon, "5ms").Should(BeNumerically(">=", 20))
+	}
+}
+
+// Guards against a log that lost records and is followed all the same.
+func TestBrokenLogIsNotFollowed(t *testing.T) {
+	cases := map[string]struct {
+		damage func(*logsrv.Server, *applog.HTTP)
+		want   follow.FaultKind
+	}{
+		"restarted": {func(s *logsrv.Server, _ *applog.HTTP) { s.Restart() }, follow.FaultRestarted},
+		"truncated": {func(s *logsrv.Server, _ *applog.HTTP) { s.Truncate(2) }, follow.FaultTruncated},
+		"rewritten": {func(s *logsrv.Server, l *applog.HTTP) {
+			s.SetFaults(logsrv.Faults{Down: true})
+			s.Truncate(1)
+			s.SetFaults(logsrv.Faults{})
+			for i := range 3 {
+				_, _ = l.Append(context.Background(), out(fmt.Sprintf("other%d", i), "west", 0))
+			}
+		}, follow.FaultRewritten},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(t, 2).ready()
+			f.fill(f.list[0], 3)
+			g.Eventually(func() int64 { return f.list[1].Config().Revision }, soon).Should(BeEquivalentTo(3))
+			l := applog.NewHTTP(f.url)
+			defer l.Close()
+			c.damage(f.log, l)
+			for _, d := range f.list {
+				g.Eventually(func() *follow.LogFault { return d.Health().Fault }, soon, "5ms").Should(HaveField("Kind", c.want))
+				g.Expect(d.Config().Revision).To(BeEquivalentTo(3))
+			}
+			_, err := publish(t, f.list[0], out("late", "south", 3), soon)
+			g.Expect(err).To(HaveField("Kind", c.want))
+		})
+	}
+}
+
+// Guards against a daemon that can't start from the log once retention has
+// dropped the first records, and against a snapshot from every daemon.
+func TestStartFromSnapshot(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, 6).ready()
+	f.fill(f.list[0], 12)
+	taken := func() (n int) {
+		for _, e := range f.log.Entries() {
+			if e.Record.Kind == applog.KindSnapshot {
+				n++
+			}
+		}
+		return n
+	}
+	g.Eventually(taken, soon, "5ms").Should(BeNumerically(">=", 1))
+	g.Consistently(taken, time.Second, "50ms").Should(BeNumerically("<=", 3))
+	bad := applog.Record{ID: "bad", Kind: applog.KindSnapshot, Body: []byte(`{"applied":11,"hash":1,"state":"AAAA"}`)}
+	l := applog.NewHTTP(f.url)
+	defer l.Close()
+	_, err := l.Append(t.Context(), bad)
+	g.Expect(err).NotTo(HaveOccurred())
+	entries := f.log.Entries()
+	f.log.SetFaults(logsrv.Faults{Retain: len(entries) - 6})
+	d := f.add(f.url, false)
+	g.Eventually(func() int { return len(d.Config().Exceptions) }, soon, "5ms").Should(Equal(12))
+	g.Expect(d.Config()).To(Equal(f.list[0].Config()))
+}
+
+// Guards against a daemon that takes the rest of a log for the whole of it.
+func TestNoSnapshotIsReported(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, 1).ready()
+	f.fill(f.list[0], 5)
+	f.log.SetFaults(logsrv.Faults{Retain: 2})
+	d := f.add(f.url, false)
+	g.Eventually(func() *follow.LogFault { return d.Health().Fault }, soon, "5ms").Should(HaveField("Kind", follow.FaultNoSnapshot))
+	g.Expect(d.Health().Ready).To(BeFalse())
+}
+
+// Guards against a state that does not fit one frame between daemons when the
+// window of outcomes is full.
+func TestFullStateFitsFrame(t *testing.T) {
+	g := NewWithT(t)
+	d := follow.New(nil, nil, quick, func(o *follow.Options) { o.SnapshotEvery = 1 << 20 })
+	r := rand.New(rand.NewPCG(1, 2))
+	for i := int64(1); i <= fold.Window+fold.HistorySize; i++ {
+		rec := out(fmt.Sprintf("%016x%016x", r.Uint64(), r.Uint64()), fmt.Sprintf("centre%d", i%100), i-1)
+		_, err := d.Handle(&wire.ConfExchange{Applied: i, Entries: []*wire.ConfEntry{{
+			Offset: i, Id: rec.ID, Kind: string(rec.Kind), Base: rec.Base, Author: rec.Author, Body: rec.Body,
+		}}})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	reply, err := d.Handle(&wire.ConfExchange{WantState: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reply.State).NotTo(BeEmpty())
+	g.Expect(proto.Size(reply)).To(BeNumerically("<", 240<<10))
+}
--- a/internal/conf/policy/encode.go
+++ b/internal/conf/policy/encode.go
@@ -18,7 +18,7 @@
 	Author    string     `toml:"author,omitempty"`
 	Start     *time.Time `toml:"start,omitempty"`
 	End       *time.Time `toml:"end,omitempty"`
-	SlotShare float64    `toml:"slot_share,omitempty"`
+	SlotShare float64    `toml:"slot_share,omitzero"`
 	Scope     scopeDoc   `toml:"scope"`
 	Move      *moveDoc   `toml:"move,omitempty"`
 	Route     *routeDoc  `toml:"route,omitempty"`
@@ -33,13 +33,13 @@
 
 type moveDoc struct {
 	FinishBy    *time.Time `toml:"finish_by,omitempty"`
-	UnprovenCap float64    `toml:"unproven_cap,omitempty"`
-	Cap         float64    `toml:"cap,omitempty"`
+	UnprovenCap float64    `toml:"unproven_cap,omitzero"`
+	Cap         float64    `toml:"cap,omitzero"`
 }
 
 type routeDoc struct {
 	Class      string      `toml:"class,omitempty"`
-	Timeout    clock.Milli `toml:"timeout_ms,omitempty"`
+	Timeout    clock.Milli `toml:"timeout_ms,omitzero"`
 	Repeatable *bool       `toml:"repeatable,omitempty"`
 }
 
--- a/internal/conf/policy/reader.go
+++ b/internal/conf/policy/reader.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -110,6 +111,7 @@
 	if !ok {
 		return 0
 	}
+	allowed := "a number of " + unit + " from " + decimal(lo) + " to " + decimal(hi)
 	var f float64
 	switch n := v.(type) {
 	case int64:
@@ -117,15 +119,17 @@
 	case float64:
 		f = n
 	default:
-		r.bad(key, v, fmt.Sprintf("a number of %s from %v to %v", unit, lo, hi))
+		r.bad(key, v, allowed)
 		return 0
 	}
 	if !(f >= lo && f <= hi) {
-		r.bad(key, v, fmt.Sprintf("a number of %s from %v to %v", unit, lo, hi))
+		r.bad(key, v, allowed)
 	}
 	return f
 }
 
+func decimal(f float64) string { return strconv.FormatFloat(f, 'f', -1, 64) }
+
 func (r *reader) boolean(key string) *bool {
 	v, ok := r.take(key)
 	if !ok {
