--- a/cmd/measure-scale/main.go
+++ b/cmd/measure-scale/main.go
@@ -23,7 +23,7 @@
 	// The fleets are built one after the other, so that each one's memory is
 	// known, and run at the same time.
 	var runs []*run
-	for s := range strings.SplitSeq(*sizes, ",") {
+	for s := range strings.FieldsFuncSeq(*sizes, func(c rune) bool { return c == ',' }) {
 		members, err := strconv.Atoi(s)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/cmd/measure-scale/virtual.go
+++ b/cmd/measure-scale/virtual.go
@@ -224,6 +224,9 @@
 	}
 	r.value("storm_settled_s", members, float64(took/clock.Second))
 	windows(r, "storm", n, members)
+	b := busiest(n)
+	fmt.Printf("storm_busiest members=%d bytes_sent=%d bytes_received=%d of_sync=%d relay=%v\n",
+		members, b.Sent, b.Received, b.SyncBytes, b.Core.Relay())
 }
 
 // seeds returns 16 members that announced themselves in the log, some of
@@ -250,6 +253,17 @@
 	r.goal(name+"_bytes_per_s_busiest_10s", members, quantile(steady, 1), budget.BytesPerSecond)
 }
 
+// busiest returns the member that used the budget most in 10 s.
+func busiest(n *virt.Net) *virt.Node {
+	most := n.Nodes[0]
+	for _, d := range n.Nodes {
+		if d.MaxSteady > most.MaxSteady {
+			most = d
+		}
+	}
+	return most
+}
+
 func agreed(n *virt.Net) bool {
 	root := n.Live()[0].Core.Root()
 	for _, d := range n.Live() {
--- a/internal/fleet/member/queue.go
+++ b/internal/fleet/member/queue.go
@@ -9,7 +9,7 @@
 
 // longQueue is the length from which items are sent fewer times: the budget
 // is better spent on items that nobody has, and anti-entropy fills the gaps.
-const longQueue = 100
+const longQueue = 30
 
 // item is an update that waits to be sent some more times.
 type item struct {
@@ -120,7 +120,7 @@
 // from the recent updates that probes carry.
 func (c *Core) copies() int {
 	if len(c.queue.byID) > longQueue {
-		return 3
+		return 2
 	}
 	return max(3, bits.Len(uint(len(c.local)))-2)
 }
@@ -142,6 +142,9 @@
 	for len(c.recent) > 0 && c.recent[0].until < now {
 		c.recent = c.recent[1:]
 	}
+	if len(c.queue.byID) > longQueue {
+		return
+	}
 	size, allow := p.WireSize(), c.allow(now)
 	had := len(p.Facts) + len(p.News)
 	for k := len(c.recent) - 1; k >= max(0, len(c.recent)-maxRecent); k-- {
--- a/internal/fleet/member/relay.go
+++ b/internal/fleet/member/relay.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// Relay says whether this member connects its data centre or region.
+func (c *Core) Relay() bool { return c.relays.centreRank >= 0 || c.relays.regionRank >= 0 }
+
 func (c *Core) keepTop(top []*entry, e *entry, salt uint64) []*entry {
 	if len(top) == c.opts.Relays && weight(top[len(top)-1].key, salt) > weight(e.key, salt) {
 		return top
--- a/internal/fleet/member/sync.go
+++ b/internal/fleet/member/sync.go
@@ -14,8 +14,10 @@
 	// of the peer; it is one bucket at 3,200 members.
 	maxReply = 4000
 	maxHints = 4
-	// bucketsPerAsk bounds the stamps of a comparison to 200 members of 3,200.
-	bucketsPerAsk = 4
+	// maxFacts bounds the facts that a comparison sends in one direction.
+	maxFacts = 30
+	// maxStamps bounds the stamps of a comparison to 2 KB.
+	maxStamps = 250
 )
 
 // differentEvery is the mean time between comparisons while tables differ.
@@ -32,8 +34,10 @@
 		c.merge(now, req.Self)
 	}
 	page := req.Mask
-	if page != 0 && len(req.Stamps) == 0 {
-		page = c.page(req.Mask)
+	if page != 0 {
+		if len(req.Stamps) == 0 {
+			page = c.page(req.Mask)
+		}
 		// The page itself may overdraw the budget, as its size is bounded; a
 		// check of the size as well refused every page of a large table.
 		if !c.opts.Allowance.Allow(now, c.planned, Ordinary) {
@@ -136,6 +140,11 @@
 		r.Want = append(r.Want, key)
 	}
 	slices.Sort(r.Want)
+	if len(req.Stamps) > 0 {
+		// The rest differs at the next comparison still.
+		r.Facts = r.Facts[:min(len(r.Facts), maxFacts)]
+		r.Want = r.Want[:min(len(r.Want), maxFacts)]
+	}
 	return r
 }
 
@@ -171,11 +180,12 @@
 
 func (c *Core) askDifferent(now clock.Milli, s Synced) {
 	var mask uint64
-	start := c.opts.Rand.IntN(buckets)
+	start, stamps := c.opts.Rand.IntN(buckets), 0
 	for i := range buckets {
 		b := (start + i) % buckets
-		if s.Reply.Buckets[b] != c.digest.buckets[b] && bits.OnesCount64(mask) < bucketsPerAsk {
+		if s.Reply.Buckets[b] != c.digest.buckets[b] && stamps < maxStamps {
 			mask |= 1 << b
+			stamps += len(c.parts[b])
 		}
 	}
 	// Tables that differ are compared again sooner than equal ones.
@@ -203,6 +213,7 @@
 		return
 	}
 	slices.SortFunc(stale, func(a, b Fact) int { return cmp.Compare(a.ID, b.ID) })
+	stale = stale[:min(len(stale), 2*maxFacts)]
 	stale = slices.CompactFunc(stale, func(a, b Fact) bool { return a.ID == b.ID })
 	c.out = append(c.out, Ask{Peer: s.Peer, Request: SyncRequest{Facts: stale}})
 }
