--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 # Tests listed in KNOWN-RED.txt as "test: TestName" are printed and not run.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 
-.PHONY: all build tools generate fmt lint test demo measure-policy measure-moves soak
+.PHONY: all build tools generate fmt lint test demo soak measure-path measure-policy measure-config measure-moves measure-scale
 
 all: build
 
@@ -43,7 +43,7 @@
 	$(GO) test -race -count=1 -timeout 8m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(PKG)
 
 demo: build
-	$(BIN)/demo -bin $(BIN)
+	$(BIN)/demo --bin $(BIN)
 
 # Decisions under load and faults, in virtual time.
 measure-policy:
@@ -56,3 +56,7 @@
 # Real processes under random faults.
 soak: build
 	$(BIN)/soak --bin $(BIN) --seed $(SEED) --minutes $(MINUTES)
+
+# Slopes of the control plane against the size of the fleet.
+measure-scale: build
+	$(BIN)/measure-scale
--- a/internal/fleet/member/sync.go
+++ b/internal/fleet/member/sync.go
@@ -10,12 +10,14 @@
 )
 
 const (
-	// maxReply bounds what a joining member gets at once; it is less than
-	// the budget of 2 s of the peer.
-	maxReply = 5000
+	// maxReply bounds what a joining member gets at once to the budget of 1 s
+	// of the peer; it is one bucket at 3,200 members.
+	maxReply = 4000
 	maxHints = 4
-	// bucketsPerAsk bounds the stamps of a comparison to 200 members of 3,200.
-	bucketsPerAsk = 4
+	// maxFacts bounds the facts that a comparison sends in one direction.
+	maxFacts = 30
+	// maxStamps bounds the stamps of a comparison to 2 KB.
+	maxStamps = 250
 )
 
 // differentEvery is the mean time between comparisons while tables differ.
@@ -32,10 +34,18 @@
 		c.merge(now, req.Self)
 	}
 	page := req.Mask
-	if page != 0 && len(req.Stamps) == 0 {
-		page = c.page(req.Mask)
-		if !c.opts.Allowance.Allow(now, c.bytesIn(page), Ordinary) {
-			c.out = append(c.out, Answer{Reply: SyncReply{Busy: true, Facts: c.hints(req.Self.ID)}})
+	if page != 0 {
+		if len(req.Stamps) == 0 {
+			page = c.page(req.Mask)
+		}
+		// The page itself may overdraw the budget, as its size is bounded; a
+		// check of the size as well refused every page of a large table.
+		if !c.opts.Allowance.Allow(now, c.planned, Ordinary) {
+			r := SyncReply{Busy: true}
+			if req.Mask == math.MaxUint64 {
+				r.Facts = c.hints(req.Self.ID)
+			}
+			c.out = append(c.out, Answer{Reply: r})
 			return
 		}
 	}
@@ -94,9 +104,9 @@
 // inMask returns the members in the buckets of a mask, in the order of keys.
 func (c *Core) inMask(mask uint64) []*entry {
 	var out []*entry
-	for _, e := range c.members {
-		if mask>>bucketOf(e.key)&1 == 1 {
-			out = append(out, e)
+	for b := range c.parts {
+		if mask>>b&1 == 1 {
+			out = append(out, c.parts[b]...)
 		}
 	}
 	slices.SortFunc(out, byKey)
@@ -130,6 +140,11 @@
 		r.Want = append(r.Want, key)
 	}
 	slices.Sort(r.Want)
+	if len(req.Stamps) > 0 {
+		// The rest differs at the next comparison still.
+		r.Facts = r.Facts[:min(len(r.Facts), maxFacts)]
+		r.Want = r.Want[:min(len(r.Want), maxFacts)]
+	}
 	return r
 }
 
@@ -165,11 +180,12 @@
 
 func (c *Core) askDifferent(now clock.Milli, s Synced) {
 	var mask uint64
-	start := c.opts.Rand.IntN(buckets)
+	start, stamps := c.opts.Rand.IntN(buckets), 0
 	for i := range buckets {
 		b := (start + i) % buckets
-		if s.Reply.Buckets[b] != c.digest.buckets[b] && bits.OnesCount64(mask) < bucketsPerAsk {
+		if s.Reply.Buckets[b] != c.digest.buckets[b] && stamps < maxStamps {
 			mask |= 1 << b
+			stamps += len(c.parts[b])
 		}
 	}
 	// Tables that differ are compared again sooner than equal ones.
@@ -197,6 +213,7 @@
 		return
 	}
 	slices.SortFunc(stale, func(a, b Fact) int { return cmp.Compare(a.ID, b.ID) })
+	stale = stale[:min(len(stale), 2*maxFacts)]
 	stale = slices.CompactFunc(stale, func(a, b Fact) bool { return a.ID == b.ID })
 	c.out = append(c.out, Ask{Peer: s.Peer, Request: SyncRequest{Facts: stale}})
 }
@@ -218,18 +235,24 @@
 	c.pingDead(now)
 }
 
-// randomMember returns some live member of any data centre.
+// randomMember returns some live member of any data centre. Buckets are
+// nearly even, so the choice within a random one is close to uniform.
 func (c *Core) randomMember() string {
-	var ids []string
-	for _, e := range c.inMask(math.MaxUint64) {
-		if !e.fact.Status.Gone() && e.fact.ID != c.self.ID {
-			ids = append(ids, e.fact.ID)
+	first := c.opts.Rand.IntN(buckets)
+	for i := range buckets {
+		part := c.parts[(first+i)%buckets]
+		if len(part) == 0 {
+			continue
+		}
+		start := c.opts.Rand.IntN(len(part))
+		for j := range part {
+			e := part[(start+j)%len(part)]
+			if !e.fact.Status.Gone() && e.fact.ID != c.self.ID {
+				return e.fact.ID
+			}
 		}
 	}
-	if len(ids) == 0 {
-		return ""
-	}
-	return ids[c.opts.Rand.IntN(len(ids))]
+	return ""
 }
 
 func (c *Core) askCompare(peer string) {
@@ -239,8 +262,11 @@
 func (c *Core) pingDead(now clock.Milli) {
 	var dead *entry
 	seen := 0
-	for _, e := range c.inMask(math.MaxUint64) {
-		if e.fact.Status == Dead && e.fact.Centre == c.self.Centre {
+	for b := range c.parts {
+		for _, e := range c.parts[b] {
+			if e.fact.Status != Dead || e.fact.Centre != c.self.Centre {
+				continue
+			}
 			if seen++; c.opts.Rand.IntN(seen) == 0 {
 				dead = e
 			}
