moves/trial: judge a version that stays cold

Cause: in the demo a bad version with 24 failures in 51 calls was found only after finish_by. An upstream that fails is never ramped up, so its guard reports it as cold, and the test left out every cold sample. Errors now count from the start and latencies after 10 s of cold start. The new cases of TestVerdict (fails and stays cold, slow and stays cold) fail without the change; a sound version with a slow cold start is still not convicted. TestSamplesThatDoNotCount now uses a cold sample of the old version and also checks its count.

--- a/internal/moves/trial/proof.go
+++ b/internal/moves/trial/proof.go
@@ -63,13 +63,14 @@
 // margins of a single route are wider, as it has fewer calls.
 func (r *route) prove(t *Test, w int64, p *pair, all *cell) {
 	base := r.errorRate()
-	ratio := float64(all.calls) / float64(p.old.calls)
 	r.good.begin(prior(float64(w-r.first), t.scale, soundAtOnce))
 	r.good.errors(base, t.opts.RouteErrorMargin, all.errors, all.calls)
 	t.good.errors(base, t.opts.ErrorMargin, all.errors, all.calls)
-	if !r.known || all.calls == 0 {
+	timed := all.of(Slow)
+	if !r.known || timed == 0 {
 		return
 	}
+	ratio := float64(timed) / float64(max(p.old.of(Slow), 1))
 	for m := Slow; m < metrics; m++ {
 		th := r.thresholds[m]
 		oldBad, newBad := p.old.bad(m, th), all.bad(m, th)
--- a/internal/moves/trial/route.go
+++ b/internal/moves/trial/route.go
@@ -149,17 +149,17 @@
 	if m == Errors {
 		odds = t.opts.ErrorOdds
 	}
-	r.advance(whole, m, odds, start, p.old.calls, oldBad, all.calls, newBad)
+	r.advance(whole, m, odds, start, p.old.of(m), oldBad, all.of(m), newBad)
 	for g := range maxGroups {
 		if !r.seen[g] {
 			continue
 		}
-		calls, bad := all.calls, newBad
+		calls, bad := all.of(m), newBad
 		if c, ok := p.groups[g]; ok {
-			calls -= c.calls
+			calls -= c.of(m)
 			bad -= c.bad(m, th)
 		}
-		r.advance(g, m, odds, start, p.old.calls, oldBad, calls, bad)
+		r.advance(g, m, odds, start, p.old.of(m), oldBad, calls, bad)
 	}
 }
 
@@ -169,6 +169,10 @@
 // by the tolerated odds, if it is not worse. A change of the general rate has
 // no influence on that.
 func (r *route) advance(g int, m Metric, odds, start float64, oldCalls, oldBad, newCalls, newBad int64) {
+	if oldCalls == 0 {
+		newCalls = 0
+		oldCalls = 1
+	}
 	ratio := float64(newCalls) / float64(oldCalls)
 	q := tilt(ratio, odds)
 	for i, theta := range oddsGrid {
--- a/internal/moves/trial/sample.go
+++ b/internal/moves/trial/sample.go
@@ -32,8 +32,8 @@
 	Window int64
 	Calls  int64
 	Errors int64
-	// Cold says that the upstream was in cold start. Such samples are not
-	// compared, as a new version's upstreams start cold.
+	// Cold says that the upstream was in cold start. For some time, latencies of
+	// such samples are not compared, as a new version's upstreams start cold.
 	Cold    bool
 	Latency [Buckets]int64
 }
@@ -84,6 +84,18 @@
 	}
 }
 
+// of returns how many calls a metric is about: latencies are not known of all.
+func (c *cell) of(m Metric) int64 {
+	if m == Errors {
+		return c.calls
+	}
+	var n int64
+	for _, k := range c.latency {
+		n += k
+	}
+	return n
+}
+
 // bad returns how many calls count as bad for a metric.
 func (c *cell) bad(m Metric, threshold int) int64 {
 	if m == Errors {
--- a/internal/moves/trial/trial.go
+++ b/internal/moves/trial/trial.go
@@ -59,6 +59,8 @@
 	// good is the proof for all routes together.
 	good  proof
 	first int64
+	// seen holds the window in which each cold target appeared.
+	seen map[string]int64
 	// Late counts samples that came after their window was closed.
 	Late int64
 }
@@ -69,6 +71,10 @@
 	groups map[int]*cell
 }
 
+// coldWindows is how long the latencies of a cold target are left out: 10 s
+// are more than a sound upstream takes to be ramped up.
+const coldWindows = 20
+
 // New returns a test of a move that is expected to last for length.
 func New(version string, length clock.Milli, opts ...Option) *Test {
 	o := Options{
@@ -82,15 +88,19 @@
 	return &Test{
 		opts: o, version: version, scale: max(float64(length/WindowLength), 1),
 		routes: make(map[string]*route), windows: make(map[int64]map[string]*pair),
-		targets: make(map[string]int), closed: -1,
+		targets: make(map[string]int), seen: make(map[string]int64), closed: -1,
 	}
 }
 
 // Add takes in a guard's sample.
-func (t *Test) Add(s *Sample) {
-	if s.Cold || s.Calls <= 0 {
+func (t *Test) Add(sample *Sample) {
+	s := *sample
+	if s.Calls <= 0 || s.Cold && s.Version != t.version {
 		return
 	}
+	if s.Cold && t.warming(&s) {
+		s.Latency = [Buckets]int64{}
+	}
 	if s.Window <= t.closed {
 		t.Late++
 		return
@@ -106,7 +116,7 @@
 		w[s.Route] = p
 	}
 	if s.Version != t.version {
-		p.old.add(s)
+		p.old.add(&s)
 		return
 	}
 	g := t.group(s.Target)
@@ -115,7 +125,19 @@
 		c = &cell{}
 		p.groups[g] = c
 	}
-	c.add(s)
+	c.add(&s)
+}
+
+// warming reports whether the latencies of a cold target are left out. A
+// version that fails or is slow is never ramped up and stays cold, so its
+// errors count from the start and its latencies soon after.
+func (t *Test) warming(s *Sample) bool {
+	first, ok := t.seen[s.Target]
+	if !ok {
+		first = s.Window
+		t.seen[s.Target] = first
+	}
+	return s.Window-first < coldWindows
 }
 
 // group assigns a target to one of a bounded number of groups, so that the
--- a/internal/moves/trial/trial_test.go
+++ b/internal/moves/trial/trial_test.go
@@ -20,6 +20,10 @@
 	// so many windows.
 	oneTarget bool
 	change    int
+	// cold is the number of windows in which the new version is in cold start;
+	// after it, newSlower no longer applies if warmed is set.
+	cold   int
+	warmed bool
 }
 
 const (
@@ -34,7 +38,9 @@
 	for w := range windows {
 		for target := range newTargets {
 			bad := !f.oneTarget || target == (w/f.change)%newTargets
-			t.Add(draw(r, w, "new", target, f.newCalls, f.newErrors, f.newSlower, bad))
+			s := draw(r, w, "new", target, f.newCalls, f.newErrors, f.newSlower, bad && (!f.warmed || w < f.cold))
+			s.Cold = w < f.cold
+			t.Add(s)
 			t.Add(draw(r, w, "old", target, f.oldCalls, f.oldErrors, f.oldSlower, true))
 		}
 		t.Step(clock.Milli(w+1) * trial.WindowLength)
@@ -64,16 +70,19 @@
 		feed feed
 		want trial.Verdict
 	}{
-		"same":               {feed: feed{newCalls: 5, oldCalls: 50}, want: trial.NotWorse},
-		"more errors":        {feed: feed{newCalls: 5, oldCalls: 50, newErrors: 0.1, oldErrors: 0.002}, want: trial.Worse},
-		"slower":             {feed: feed{newCalls: 5, oldCalls: 50, newSlower: 2}, want: trial.Worse},
-		"both fail":          {feed: feed{newCalls: 5, oldCalls: 50, newErrors: 0.3, oldErrors: 0.3}, want: trial.NotWorse},
-		"both slow":          {feed: feed{newCalls: 5, oldCalls: 50, newSlower: 5, oldSlower: 5}, want: trial.NotWorse},
-		"better":             {feed: feed{newCalls: 5, oldCalls: 50, oldErrors: 0.1, oldSlower: 2}, want: trial.NotWorse},
-		"noisy neighbour":    {feed: feed{newCalls: 5, oldCalls: 50, newSlower: 4, oneTarget: true, change: windows}, want: trial.NotWorse},
-		"noise that moves":   {feed: feed{newCalls: 5, oldCalls: 50, newSlower: 4, oneTarget: true, change: windows / 3}, want: trial.NotWorse},
-		"no old calls":       {feed: feed{newCalls: 5, newErrors: 0.5}, want: trial.None},
-		"too little traffic": {feed: feed{oldCalls: 50}, want: trial.None},
+		"same":                 {feed: feed{newCalls: 5, oldCalls: 50}, want: trial.NotWorse},
+		"more errors":          {feed: feed{newCalls: 5, oldCalls: 50, newErrors: 0.1, oldErrors: 0.002}, want: trial.Worse},
+		"slower":               {feed: feed{newCalls: 5, oldCalls: 50, newSlower: 2}, want: trial.Worse},
+		"both fail":            {feed: feed{newCalls: 5, oldCalls: 50, newErrors: 0.3, oldErrors: 0.3}, want: trial.NotWorse},
+		"both slow":            {feed: feed{newCalls: 5, oldCalls: 50, newSlower: 5, oldSlower: 5}, want: trial.NotWorse},
+		"better":               {feed: feed{newCalls: 5, oldCalls: 50, oldErrors: 0.1, oldSlower: 2}, want: trial.NotWorse},
+		"noisy neighbour":      {feed: feed{newCalls: 5, oldCalls: 50, newSlower: 4, oneTarget: true, change: windows}, want: trial.NotWorse},
+		"noise that moves":     {feed: feed{newCalls: 5, oldCalls: 50, newSlower: 4, oneTarget: true, change: windows / 3}, want: trial.NotWorse},
+		"fails and stays cold": {feed: feed{newCalls: 5, oldCalls: 50, newErrors: 0.3, cold: windows}, want: trial.Worse},
+		"slow and stays cold":  {feed: feed{newCalls: 5, oldCalls: 50, newSlower: 3, cold: windows}, want: trial.Worse},
+		"slow cold start":      {feed: feed{newCalls: 5, oldCalls: 50, newSlower: 4, cold: 18, warmed: true}, want: trial.NotWorse},
+		"no old calls":         {feed: feed{newCalls: 5, newErrors: 0.5}, want: trial.None},
+		"too little traffic":   {feed: feed{oldCalls: 50}, want: trial.None},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -106,7 +115,7 @@
 	g := NewWithT(t)
 	test := trial.New("new", clock.Minute)
 	r := rand.New(rand.NewPCG(1, 1))
-	cold := draw(r, 0, "new", 0, 100, 1, 1, true)
+	cold := draw(r, 0, "old", 1, 100, 1, 1, true)
 	cold.Cold = true
 	test.Add(cold)
 	test.Add(draw(r, 0, "new", 0, 10, 0, 1, true))
@@ -116,6 +125,7 @@
 	res := test.Result()
 	g.Expect(res.Short).To(ConsistOf("r"))
 	g.Expect(res.Routes[0].NewCalls).To(BeEquivalentTo(10))
+	g.Expect(res.Routes[0].OldCalls).To(BeEquivalentTo(100))
 	g.Expect(test.Late).To(BeEquivalentTo(1))
 }
 
