--- a/internal/conf/follow/poll.go
+++ b/internal/conf/follow/poll.go
@@ -91,7 +91,7 @@
 		if err != nil {
 			return err
 		}
-		if err := f.check(b); err != nil {
+		if err := f.check(b, applied); err != nil {
 			return err
 		}
 		f.offer(b.Entries)
@@ -104,8 +104,10 @@
 	}
 }
 
-// check compares a batch with what was folded.
-func (f *Follower) check(b applog.Batch) error {
+// check compares a batch with what was folded. Applied is the offset folded
+// before the read: appends and peers may have moved the fold on since, and the
+// batch can't hold what came after it.
+func (f *Follower) check(b applog.Batch, applied int64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.snaps.first = b.First
@@ -113,8 +115,8 @@
 	if err := f.checkGeneration(b.Generation); err != nil {
 		return err
 	}
-	if b.Next-1 < st.Applied() {
-		return &LogFault{Kind: FaultTruncated, Detail: fmt.Sprintf("ends at offset %d, folded to %d", b.Next-1, st.Applied())}
+	if b.Next-1 < applied {
+		return &LogFault{Kind: FaultTruncated, Detail: fmt.Sprintf("ends at offset %d, folded to %d", b.Next-1, applied)}
 	}
 	for _, e := range b.Entries {
 		if e.Offset == st.Applied() && fold.DigestOf(e.Record) != st.LastDigest() {
