pick: let reported limits age, keep mean loads per data centre

A stale view of a cold target kept its limit of one for ever, so only probes brought the target back. With the mean load kept apart for the own data centre, uninformed entries spill over in time; with distrusted views the common mean is used.

--- a/internal/core/pick/cost.go
+++ b/internal/core/pick/cost.go
@@ -9,6 +9,9 @@
 	// viewLife is the age at which a view counts half. Load changes within
 	// some service times.
 	viewLife = 50 * clock.Millisecond
+	// limitLife is the age at which a reported limit counts half. Without it,
+	// a target that was once cold gets no call that would show it warm.
+	limitLife = clock.Second
 	// latencyLife is the age at which a latency counts half. Slowdowns last
 	// longer than queues.
 	latencyLife = 2000 * clock.Millisecond
@@ -55,19 +58,36 @@
 }
 
 // mean holds what an average target of the service looks like; it stands in
-// for views that are too old.
+// for views that are too old. The load is also kept apart for the own data
+// centre and the others, as their capacities per entry differ.
 type mean struct {
-	load  float64
-	speed clock.Milli
+	all, near, far float64
+	speed          clock.Milli
 }
 
-func (m *mean) observe(_ clock.Milli, v *call.View) {
+func (m *mean) observe(near bool, v *call.View) {
 	if v.Limit > 0 {
-		m.load += meanSmooth * (float64(v.InProgress+v.Queued)/float64(v.Limit) - m.load)
+		load := float64(v.InProgress+v.Queued) / float64(v.Limit)
+		m.all += meanSmooth * (load - m.all)
+		if near {
+			m.near += meanSmooth * (load - m.near)
+		} else {
+			m.far += meanSmooth * (load - m.far)
+		}
 	}
 	m.latency(v.Latency)
 }
 
+// load is the mean per slot. Without trust in the views it is the same
+// everywhere: following stale means moves all entries at once.
+func (m *mean) load(near bool, trust float64) float64 {
+	part := m.far
+	if near {
+		part = m.near
+	}
+	return m.all + trust*(part-m.all)
+}
+
 func (m *mean) latency(l clock.Milli) {
 	switch {
 	case l <= 0:
@@ -114,13 +134,13 @@
 // trusted, the service's mean for the rest, and what this entry sent since.
 func (p *Picker) load(now clock.Milli, e *entry, trust float64) (load, limit float64) {
 	limit = float64(max(1, e.target.Slots))
-	prior := p.mean.load*limit + float64(e.pending)
+	prior := p.mean.load(e.target.Centre == p.centre, trust)*limit + float64(e.pending)
 	if !e.seen {
 		return prior, limit
 	}
 	w := trust * fade(now-e.view.Taken, viewLife)
 	if e.view.Limit > 0 {
-		limit += trust * (float64(e.view.Limit) - limit)
+		limit += trust * fade(now-e.view.Taken, limitLife) * (float64(e.view.Limit) - limit)
 	}
 	reported := float64(e.view.InProgress + e.view.Queued + e.pending - e.atView)
 	load = w*reported + (1-w)*prior
--- a/internal/core/pick/pick.go
+++ b/internal/core/pick/pick.go
@@ -118,7 +118,7 @@
 		return
 	}
 	e.view, e.seen, e.atView = v, true, e.pending
-	p.mean.observe(now, &v)
+	p.mean.observe(e.target.Centre == p.centre, &v)
 }
 
 // Started counts a call that this entry sent to a target.
