fleet: join through near members, end the receiver without restarts

During a cut, a starting member of the small side asked mostly unreachable members and backed off: one of 800 tables was incomplete 2 minutes after its restart. The receiver was restarted in a loop while a shell stopped.

--- a/cmd/measure-scale/real.go
+++ b/cmd/measure-scale/real.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"runtime"
+	"slices"
 	"syscall"
 	"time"
 
@@ -17,7 +18,7 @@
 )
 
 const (
-	realSettle  = 12 * time.Second
+	realSettle  = 110 * time.Second
 	realMeasure = 20 * time.Second
 )
 
@@ -60,12 +61,7 @@
 	for _, d := range ds {
 		go d.run(ctx)
 	}
-	time.Sleep(realSettle)
-	for _, d := range ds {
-		if d.shell.Size() != members {
-			fmt.Printf("real members=%d known=%d\n", members, d.shell.Size())
-		}
-	}
+	r.value("real_cold_start_s", members, settle(ds).Seconds())
 	memory := float64(heap()-before) / float64(members)
 	cpu := processCPU()
 	start := totals(ds)
@@ -85,6 +81,21 @@
 	return nil
 }
 
+// settle waits until all daemons know each other.
+func settle(ds []*daemon) time.Duration {
+	start := time.Now()
+	for time.Since(start) < realSettle {
+		if !slices.ContainsFunc(ds, func(d *daemon) bool { return d.shell.Size() != len(ds) }) {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	took := time.Since(start)
+	// What was still queued is sent before the quiet time is measured.
+	time.Sleep(10 * time.Second)
+	return took
+}
+
 func newDaemon(l *gossip.Local, conn net.PacketConn) *daemon {
 	clk := clock.NewReal()
 	limit := budget.NewLimiter(clk.Now())
--- a/internal/fleet/gossip/shell.go
+++ b/internal/fleet/gossip/shell.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -138,6 +139,11 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			// The deadline is set only to end the read when the shell stops.
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		if err != nil {
 			return errors.Wrap(err, "receive")
 		}
--- a/internal/fleet/member/join.go
+++ b/internal/fleet/member/join.go
@@ -53,13 +53,15 @@
 	c.out = append(c.out, Ask{Peer: c.joinPeer(), Request: SyncRequest{Self: c.self, Mask: j.missing}})
 }
 
-// joinPeer prefers members learned during the join to the seeds, of which a
-// few are asked by everyone that starts.
+// joinPeer mostly picks members of the own data centre: they are the last to
+// be cut off, and the seeds are asked by everyone that starts.
 func (c *Core) joinPeer() string {
-	if c.opts.Rand.IntN(4) > 0 {
-		if id := c.randomMember(); id != "" {
-			return id
-		}
+	r := c.opts.Rand.IntN(4)
+	if near := c.randomLocal(1, ""); r > 1 && len(near) > 0 {
+		return near[0].fact.ID
+	}
+	if id := c.randomMember(); r > 0 && id != "" {
+		return id
 	}
 	return c.joining.seeds[c.opts.Rand.IntN(len(c.joining.seeds))]
 }
--- a/internal/fleet/member/sync.go
+++ b/internal/fleet/member/sync.go
@@ -168,7 +168,10 @@
 	for _, n := range s.Reply.News {
 		c.learnNews(now, n)
 	}
-	c.joining.done(s.Reply.Served)
+	if s.Reply.Served != 0 {
+		c.joining.done(s.Reply.Served)
+		c.joining.backoff = c.opts.JoinBackoff
+	}
 	switch {
 	case len(s.Reply.Buckets) == buckets:
 		c.askDifferent(now, s)
