moves: compare at the old median and keep a tenth for the old version

Some noisy old targets hid a moderate slowdown above the upper quartile, and with 95% of the calls on the new version too little was left to compare with.

--- a/internal/moves/shift/move.go
+++ b/internal/moves/shift/move.go
@@ -68,7 +68,7 @@
 		return
 	}
 	m.Finding = res.Evidence
-	if m.fullAt > 0 && now-m.fullAt >= hold(m.Exception.Move, m.Evidence) {
+	if m.fullAt > 0 && !res.Evidence.Suspect() && now-m.fullAt >= hold(m.Exception.Move, m.Evidence) {
 		m.learn(now, Evidence{DoneAt: now}, trial.Evidence{})
 	}
 }
--- a/internal/moves/shift/schedule.go
+++ b/internal/moves/shift/schedule.go
@@ -50,7 +50,7 @@
 	unprovenPart = 0.2
 	// topShare is the largest share before the move is done. The old version
 	// keeps the rest, as without it there is nothing to compare with.
-	topShare = 0.95
+	topShare = 0.9
 	// fullPart is the part of the move after which a good version has its top
 	// share. The rest is for the last check.
 	fullPart = 0.8
--- a/internal/moves/shift/shift_test.go
+++ b/internal/moves/shift/shift_test.go
@@ -38,8 +38,8 @@
 		"at the start":         {now: 1000, load: roomy, want: 0.01},
 		"unproven at the end":  {now: 101000, load: roomy, want: 0.1, limit: shift.LimitCap},
 		"proven early":         {now: 21000, ev: shift.Evidence{ProvenAt: 2000}, load: roomy, want: 0.1},
-		"proven at the end":    {now: 81000, ev: shift.Evidence{ProvenAt: 2000}, load: roomy, want: 0.95},
-		"proven late":          {now: 100500, ev: shift.Evidence{ProvenAt: 100000}, load: roomy, want: 0.95},
+		"proven at the end":    {now: 81000, ev: shift.Evidence{ProvenAt: 2000}, load: roomy, want: 0.9},
+		"proven late":          {now: 100500, ev: shift.Evidence{ProvenAt: 100000}, load: roomy, want: 0.9},
 		"done before the log":  {now: 90000, ev: shift.Evidence{ProvenAt: 2000, DoneAt: 89000}, load: roomy, want: 1},
 		"worse after all":      {now: 90000, ev: shift.Evidence{ProvenAt: 2000, DoneAt: 89000, WorseAt: 89500}, load: roomy, limit: shift.LimitBrake},
 		"taken back":           {change: func(m *policy.VersionMove) { m.TakenBack = true }, now: 90000, ev: shift.Evidence{ProvenAt: 1}, load: roomy, limit: shift.LimitVerdict},
@@ -49,7 +49,7 @@
 		"load is not known":    {now: 81000, ev: shift.Evidence{ProvenAt: 2000}, want: 0.1, limit: shift.LimitCapacity},
 		"no cap was given":     {change: func(m *policy.VersionMove) { m.UnprovenCap = 0 }, now: 90000, load: roomy, want: shift.DefaultCap, limit: shift.LimitCap},
 		"finish before start":  {change: func(m *policy.VersionMove) { m.FinishBy = 0 }, now: 90000, load: roomy, want: 0.1, limit: shift.LimitCap},
-		"proven after the end": {now: 150000, ev: shift.Evidence{ProvenAt: 120000}, load: roomy, want: 0.95},
+		"proven after the end": {now: 150000, ev: shift.Evidence{ProvenAt: 120000}, load: roomy, want: 0.9},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/moves/trial/metric_string.go
+++ b/internal/moves/trial/metric_string.go
@@ -9,14 +9,15 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Errors-0]
-	_ = x[Slow-1]
-	_ = x[VerySlow-2]
-	_ = x[metrics-3]
+	_ = x[Slower-1]
+	_ = x[Slow-2]
+	_ = x[VerySlow-3]
+	_ = x[metrics-4]
 }
 
-const _Metric_name = "errorsslowvery_slowmetrics"
+const _Metric_name = "errorsslowerslowvery_slowmetrics"
 
-var _Metric_index = [...]uint8{0, 6, 10, 19, 26}
+var _Metric_index = [...]uint8{0, 6, 12, 16, 25, 32}
 
 func (i Metric) String() string {
 	idx := int(i) - 0
--- a/internal/moves/trial/proof.go
+++ b/internal/moves/trial/proof.go
@@ -70,7 +70,7 @@
 	if !r.known || all.calls == 0 {
 		return
 	}
-	for m := Slow; m < metrics; m++ {
+	for m := Slower; m < metrics; m++ {
 		th := r.thresholds[m]
 		oldBad, newBad := p.old.bad(m, th), all.bad(m, th)
 		r.good.slow(m, ratio, t.opts.RouteSlowMargin, oldBad, newBad)
--- a/internal/moves/trial/route.go
+++ b/internal/moves/trial/route.go
@@ -25,8 +25,8 @@
 // tolerated odds ratio.
 var oddsGrid = [...]float64{1.6, 3, 6, 15, 60}
 
-// slowTails are the shares of old calls above the two latency thresholds.
-var slowTails = [metrics]float64{Slow: 0.25, VerySlow: 0.03}
+// slowTails are the shares of old calls above the latency thresholds.
+var slowTails = [metrics]float64{Slower: 0.5, Slow: 0.25, VerySlow: 0.03}
 
 // process holds the evidence of one route with one group left out.
 type process [metrics][len(oddsGrid)]float64
@@ -193,7 +193,7 @@
 		total += r.histogram[i]
 	}
 	r.known = total >= minHistogram
-	for m := Slow; m < metrics; m++ {
+	for m := Slower; m < metrics; m++ {
 		above := 0.0
 		th := Buckets
 		for th > 1 && above+r.histogram[th-1] <= total*slowTails[m] {
--- a/internal/moves/trial/verdict.go
+++ b/internal/moves/trial/verdict.go
@@ -5,12 +5,14 @@
 // Metric is a property of calls that is compared.
 type Metric int
 
-// The metrics. Slow and VerySlow are the calls above a latency that about a
-// quarter and about 3% of the old version's recent calls exceed.
+// The metrics. Slower, Slow and VerySlow are the calls above a latency that
+// about a half, a quarter and 3% of the old version's recent calls exceed. With
+// some noisy old targets, only the first still tells a moderate slowdown.
 //
 //go:generate ../../../bin/stringer -type Metric -linecomment
 const (
 	Errors   Metric = iota // errors
+	Slower                 // slower
 	Slow                   // slow
 	VerySlow               // very_slow
 	metrics                // metrics
@@ -46,6 +48,12 @@
 	Targets int
 }
 
+// Suspect reports whether the evidence is half way to a conviction. A version
+// that is not worse is suspect at any time with a small probability only.
+func (e *Evidence) Suspect() bool {
+	return e.Value*e.Value >= e.Needed
+}
+
 // RouteResult is the state of one route.
 type RouteResult struct {
 	Route    string
