moves: give moves a definite start and bound what a test keeps

A move without a start had a schedule that began in 1970, and one with a start ahead was forgotten until the next change. Samples from a faulty clock opened windows without bound.

--- a/internal/moves/shift/core.go
+++ b/internal/moves/shift/core.go
@@ -55,13 +55,15 @@
 	}
 }
 
-// Configure takes in the configuration in force.
+// Configure takes in the configuration in force. A version move ends by a
+// verdict or when it is withdrawn; the end of its exception has no effect, as
+// an unproven version would get a full share then.
 func (c *Core) Configure(now clock.Milli, cfg *policy.Config) {
 	c.revision = cfg.Revision
 	present := make(map[string]bool)
 	for i := range cfg.Exceptions {
 		e := cfg.Exceptions[i]
-		if e.Effect != policy.EffectMove || e.Move == nil || !e.Active(now) {
+		if e.Effect != policy.EffectMove || e.Move == nil {
 			continue
 		}
 		present[e.Move.ID] = true
@@ -71,6 +73,7 @@
 			m = &move{}
 			c.moves[e.Move.ID] = m
 		}
+		e.Move = started(now, &e, m.Exception.Move)
 		m.Exception = e
 	}
 	for id := range c.moves {
@@ -82,6 +85,21 @@
 	c.decide(now)
 }
 
+// started returns the move with a definite start. One without a start begins
+// when this daemon first has it in force.
+func started(now clock.Milli, e *policy.Exception, before *policy.VersionMove) *policy.VersionMove {
+	v := *e.Move
+	v.Start = max(v.Start, e.Start)
+	switch {
+	case v.Start != 0:
+	case before != nil:
+		v.Start = before.Start
+	default:
+		v.Start = now
+	}
+	return &v
+}
+
 // Members replaces the live members of the fleet.
 func (c *Core) Members(members []string) {
 	c.members = members
--- a/internal/moves/shift/shift_test.go
+++ b/internal/moves/shift/shift_test.go
@@ -113,6 +113,31 @@
 	})).To(BeZero())
 }
 
+// Guards against a move without a start whose schedule spans decades or begins
+// anew with each change of the configuration, and against one whose start lies
+// ahead and is forgotten.
+func TestStart(t *testing.T) {
+	const now = 1796378400000
+	for name, c := range map[string]struct{ move, exception, later clock.Milli }{
+		"at once":           {later: 50000},
+		"from the move":     {move: now + 7000, later: 57000},
+		"from an exception": {exception: now + 7000, later: 57000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := exception()
+			e.Move.Start, e.Start, e.Move.FinishBy = c.move, c.exception, now+c.later+50000
+			core := shift.New("d1")
+			core.Configure(now, &policy.Config{Revision: 7, Exceptions: []policy.Exception{e}})
+			core.Configure(now+6000, &policy.Config{Revision: 8, Exceptions: []policy.Exception{e}})
+			core.Step(now + 6500)
+			g.Expect(core.Progress()[0].Decision.Phase == shift.Waiting).To(Equal(name != "at once"))
+			core.Step(now + c.later)
+			g.Expect(core.Progress()[0].Decision.Share).To(BeNumerically("~", 0.1, 1e-9))
+		})
+	}
+}
+
 // Guards against judges that all change when one member leaves.
 func TestJudges(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/moves/trial/trial.go
+++ b/internal/moves/trial/trial.go
@@ -10,6 +10,13 @@
 // way; samples arrive within one window and one network delay.
 const lateWindows = 1
 
+const (
+	// maxOpen bounds the windows that a faulty clock can open ahead of time.
+	maxOpen = 20
+	// maxRoutes bounds the memory of a test.
+	maxRoutes = 64
+)
+
 // Options are the settings of a Test.
 type Options struct {
 	// Alpha bounds the probability that a version that is not worse is
@@ -59,7 +66,7 @@
 	// good is the proof for all routes together.
 	good  proof
 	first int64
-	// Late counts samples that came after their window was closed.
+	// Late counts samples whose window was closed already or lies far ahead.
 	Late int64
 }
 
@@ -97,6 +104,10 @@
 	}
 	w, ok := t.windows[s.Window]
 	if !ok {
+		if len(t.windows) >= maxOpen {
+			t.Late++
+			return
+		}
 		w = make(map[string]*pair)
 		t.windows[s.Window] = w
 	}
@@ -136,6 +147,8 @@
 	for w := range t.windows {
 		if w <= last {
 			due = append(due, w)
+		} else if w > last+maxOpen {
+			delete(t.windows, w)
 		}
 	}
 	sort.Slice(due, func(i, j int) bool { return due[i] < due[j] })
@@ -158,6 +171,9 @@
 	t.good.begin(prior(float64(w-t.first), t.scale, soundAtOnce))
 	for _, name := range names {
 		r, ok := t.routes[name]
+		if !ok && len(t.order) >= maxRoutes {
+			continue
+		}
 		if !ok {
 			r = newRoute(name, len(t.order)+1, w)
 			t.routes[name] = r
--- a/internal/moves/trial/trial_test.go
+++ b/internal/moves/trial/trial_test.go
@@ -119,6 +119,21 @@
 	g.Expect(test.Late).To(BeEquivalentTo(1))
 }
 
+// Guards against a faulty clock that fills the memory or blocks the windows of
+// the present.
+func TestWindowsAheadAreDropped(t *testing.T) {
+	g := NewWithT(t)
+	test, r := trial.New("new", clock.Minute), rand.New(rand.NewPCG(1, 1))
+	for w := range 100 {
+		test.Add(draw(r, 1000+w, "new", 0, 1, 0, 1, true))
+	}
+	test.Step(clock.Second)
+	test.Add(draw(r, 2, "new", 0, 10, 0, 1, true))
+	test.Step(10 * clock.Second)
+	g.Expect(test.Late).To(BeEquivalentTo(80))
+	g.Expect(test.Result().Routes[0].NewCalls).To(BeEquivalentTo(10))
+}
+
 // Guards against latencies that fall into the wrong bucket.
 func TestBuckets(t *testing.T) {
 	g := NewWithT(t)
