--- a/internal/moves/shift/verdict.go
+++ b/internal/moves/shift/verdict.go
@@ -1,10 +1,9 @@
 package shift
 
 import (
-	"bytes"
+	"encoding/json"
 	"fmt"
 
-	"github.com/BurntSushi/toml"
 	"github.com/pkg/errors"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
@@ -23,14 +22,14 @@
 
 // Verdict is the body of a log record of kind verdict.
 type Verdict struct {
-	Move string `toml:"move"`
+	Move string `json:"move"`
 	// Revision is that of the exception, so that a verdict on an earlier move
 	// with the same id does not count.
-	Revision int64       `toml:"revision"`
-	Ruling   Ruling      `toml:"ruling"`
-	Judge    string      `toml:"judge"`
-	At       clock.Milli `toml:"at_ms"`
-	Evidence string      `toml:"evidence"`
+	Revision int64       `json:"revision"`
+	Ruling   Ruling      `json:"verdict"`
+	Judge    string      `json:"judge"`
+	At       clock.Milli `json:"at_ms"`
+	Evidence string      `json:"evidence"`
 }
 
 // ErrVerdict says that a record is no valid verdict.
@@ -39,8 +38,8 @@
 // Record returns the log record of a verdict. Its id is the same for all
 // judges, so that several of them append one record in effect.
 func (v *Verdict) Record(base int64) (applog.Record, error) {
-	var b bytes.Buffer
-	if err := toml.NewEncoder(&b).Encode(v); err != nil {
+	b, err := json.Marshal(v)
+	if err != nil {
 		return applog.Record{}, errors.Wrapf(err, "encode verdict on %s", v.Move)
 	}
 	return applog.Record{
@@ -49,14 +48,14 @@
 		Base:   base,
 		At:     float64(v.At),
 		Author: v.Judge,
-		Body:   b.Bytes(),
+		Body:   b,
 	}, nil
 }
 
 // ParseVerdict reads the body of a record.
 func ParseVerdict(body []byte) (Verdict, error) {
 	var v Verdict
-	if err := toml.Unmarshal(body, &v); err != nil {
+	if err := json.Unmarshal(body, &v); err != nil {
 		return v, errors.Wrap(ErrVerdict, err.Error())
 	}
 	switch {
