--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,59 @@
 # Tests listed in KNOWN-RED.txt as "test: TestName" are printed and not run.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 
-.PHONY: all build tools generate fmt lint test demo soak measure-path measure-policy measure-config measure-moves measure-scale
+.PHONY: all build tools generate fmt lint test demo soak
+.PHONY: measure-path measure-policy measure-config measure-moves measure-scale
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ . ./cmd/...
+
+tools: $(BIN)/gofumpt $(BIN)/golangci-lint
+
+$(BIN)/gofumpt: tools/go.mod
+	cd tools && $(GO) build -o ../$(BIN)/ tool
+	cd tools && $(GO) build -o ../$(BIN)/ ./genproto
+
+# golangci-lint is pinned here, as its module graph can't be merged into tools/go.mod.
+$(BIN)/golangci-lint:
+	GOBIN=$(CURDIR)/$(BIN) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+generate: tools
+	$(BIN)/genproto $(BIN)/protoc-gen-go internal/wire/proto
+	$(GO) generate $(PKG)
+
+fmt: tools
+	$(BIN)/golangci-lint fmt
+
+lint: tools
+	$(BIN)/golangci-lint run $(PKG)
+
+test:
+	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, not run: $(KNOWN_RED)"; cat KNOWN-RED.txt; fi
+	$(GO) vet $(PKG)
+	$(GO) test -race -count=1 -timeout 8m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(PKG)
+
+# The association's deployment on loopback, with every promise checked.
+demo: build
+	$(BIN)/demo --bin $(BIN)
+
+# Real processes under random faults.
+soak: build
+	$(BIN)/soak --bin $(BIN) --seed $(SEED) --minutes $(MINUTES)
+
+# Decisions under load and faults, in virtual time.
+measure-policy:
+	$(GO) run ./cmd/measure-policy
 
 # Time until an accepted revision is in force at every daemon.
 measure-config:
 	$(GO) run ./cmd/measure-config
+
+# Data centre and version moves, in virtual time.
+measure-moves:
+	$(GO) run ./cmd/measure-moves
+
+# Slopes of the control plane against the size of the fleet.
+measure-scale: build
+	$(BIN)/measure-scale
