fleet: let members that start together find each other

Cause: in the demo, 11 daemons that started at once formed two groups. Each joined through one of the daemons announced before it, which knew few others, and a join ends once one peer has served all parts of its table. The groups met only through the announcements 5 s later and the last daemon was known after 53 s. A member now compares its table with up to 4 first peers that it did not learn of while joining, and small tables are compared in one step.

--- a/internal/fleet/member/core.go
+++ b/internal/fleet/member/core.go
@@ -124,6 +124,8 @@
 	switch e := ev.(type) {
 	case Start:
 		c.start(now, e.Seeds)
+	case Meet:
+		c.meet(e.Peers)
 	case Received:
 		c.received(now, e)
 	case Asked:
--- a/internal/fleet/member/event.go
+++ b/internal/fleet/member/event.go
@@ -78,6 +78,8 @@
 	// Start begins joining through first peers; without any, the member is
 	// the first of its fleet.
 	Start struct{ Seeds []string }
+	// Meet compares the table with peers that are not in it.
+	Meet struct{ Peers []string }
 	// Received is a packet from a peer.
 	Received struct {
 		From   string
@@ -116,6 +118,7 @@
 
 func (Tick) event()       {}
 func (Start) event()      {}
+func (Meet) event()       {}
 func (Received) event()   {}
 func (Asked) event()      {}
 func (Synced) event()     {}
--- a/internal/fleet/member/join.go
+++ b/internal/fleet/member/join.go
@@ -44,6 +44,7 @@
 		c.nextCompare = min(c.nextCompare, now+clock.Milli(c.opts.Rand.Float64())*differentEvery)
 		c.spread(now, c.self)
 		c.out = append(c.out, Joined{Members: c.digest.count})
+		c.meet(j.seeds)
 		return
 	}
 	if now < j.at {
@@ -53,6 +54,24 @@
 	c.out = append(c.out, Ask{Peer: c.joinPeer(), Request: SyncRequest{Self: c.self, Mask: j.missing}})
 }
 
+// maxMeet bounds the peers that are compared with at once.
+const maxMeet = 4
+
+// meet compares the table with peers that are not in it. Members that start
+// together may each find a peer that knows few of the others yet; without
+// this, two groups that never heard of each other could form.
+func (c *Core) meet(peers []string) {
+	n := 0
+	for _, i := range c.opts.Rand.Perm(len(peers)) {
+		e, known := c.members[peers[i]]
+		if n >= maxMeet || known && !e.fact.Status.Gone() || peers[i] == c.self.ID {
+			continue
+		}
+		n++
+		c.askCompare(peers[i])
+	}
+}
+
 // joinPeer mostly picks members of the own data centre: they are the last to
 // be cut off, and the seeds are asked by everyone that starts.
 func (c *Core) joinPeer() string {
--- /dev/null
+++ b/internal/fleet/member/start_test.go
@@ -0,0 +1,45 @@
+package member_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/member"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/virt"
+)
+
+func isLive(f member.Fact) bool { return !f.Status.Gone() }
+
+// Guards against a new fleet that splits into groups which never heard of each
+// other: each daemon knows only those that were announced before it. The bound
+// is below the 30 s after which a comparison of tables would mend it anyway.
+func TestNewFleetFindsItself(t *testing.T) {
+	for seed := range uint64(20) {
+		g := NewWithT(t)
+		n := virt.New(seed)
+		n.Fleet(11, 1)
+		r := rand.New(rand.NewPCG(seed, 1))
+		for i, d := range n.Nodes {
+			var seeds []string
+			for _, before := range n.Nodes[:i] {
+				seeds = append(seeds, before.ID)
+			}
+			n.After(clock.Milli(r.Float64())*50, func() { d.Start(seeds...) })
+		}
+		took, ok := n.Until(20*clock.Second, 50, func() bool {
+			for _, d := range n.Nodes {
+				for _, o := range n.Nodes {
+					if !d.Up || o != d && !d.Knows(o.ID, isLive) {
+						return false
+					}
+				}
+			}
+			return true
+		})
+		g.Expect(ok).To(BeTrue(), "seed %d", seed)
+		t.Logf("seed=%d took_ms=%.0f", seed, float64(took))
+	}
+}
--- a/internal/fleet/member/sync.go
+++ b/internal/fleet/member/sync.go
@@ -18,6 +18,9 @@
 	maxFacts = 30
 	// maxStamps bounds the stamps of a comparison to 2 KB.
 	maxStamps = 250
+	// smallTable is the number of members up to which a comparison is answered
+	// with the whole table, which then takes less than the hashes of its parts.
+	smallTable = 16
 )
 
 // differentEvery is the mean time between comparisons while tables differ.
@@ -63,7 +66,12 @@
 		r.Facts = append(r.Facts, c.self)
 	case req.Compare:
 		r.Equal = req.Root == c.digest.root
-		if !r.Equal {
+		switch {
+		case r.Equal:
+		case c.digest.count <= smallTable:
+			r.Served = math.MaxUint64
+			r.Facts = c.live()
+		default:
 			r.Buckets = slices.Clone(c.digest.buckets[:])
 		}
 	}
@@ -77,6 +85,26 @@
 	c.out = append(c.out, Answer{Reply: r})
 }
 
+// live returns the facts about all members that are not gone.
+func (c *Core) live() []Fact {
+	out := []Fact{c.self}
+	for _, e := range c.inMask(math.MaxUint64) {
+		if !e.fact.Status.Gone() && e.fact.ID != c.self.ID {
+			out = append(out, e.fact)
+		}
+	}
+	return out
+}
+
+// absent returns the facts about live members that a peer's whole table lacks.
+func (c *Core) absent(theirs []Fact) []Fact {
+	known := make(map[string]bool, len(theirs))
+	for _, f := range theirs {
+		known[f.ID] = true
+	}
+	return slices.DeleteFunc(c.live(), func(f Fact) bool { return known[f.ID] })
+}
+
 // page cuts a mask down to the first buckets that fit into one reply.
 func (c *Core) page(mask uint64) uint64 {
 	for bits.OnesCount64(mask) > 1 && c.bytesIn(mask) > maxReply {
@@ -173,6 +201,8 @@
 		c.joining.backoff = c.opts.JoinBackoff
 	}
 	switch {
+	case s.Request.Compare && s.Reply.Served != 0:
+		c.pushWanted(s, append(stale, c.absent(s.Reply.Facts)...))
 	case len(s.Reply.Buckets) == buckets:
 		c.askDifferent(now, s)
 	case len(s.Request.Stamps) > 0 || s.Request.Mask != 0:
--- a/internal/node/daemon/seeds.go
+++ b/internal/node/daemon/seeds.go
@@ -22,9 +22,9 @@
 	fewPeers     = 3
 	readyPoll    = 50 * clock.Millisecond
 	readyTimeout = 5 * clock.Second
-	// rejoinInterval is how often announced daemons are compared with the
+	// meetInterval is how often announced daemons are compared with the
 	// membership; it joins parts of the fleet that never met.
-	rejoinInterval = 5 * clock.Second
+	meetInterval = 5 * clock.Second
 	// retryUnknown is how long an announced daemon that does not answer is
 	// left alone.
 	retryUnknown = clock.Minute
@@ -79,7 +79,7 @@
 
 // run joins announced daemons that the membership does not know.
 func (s *seeds) run(ctx context.Context) error {
-	t := time.NewTicker(rejoinInterval.Duration())
+	t := time.NewTicker(meetInterval.Duration())
 	defer t.Stop()
 	for {
 		select {
@@ -88,7 +88,7 @@
 		case <-t.C:
 		}
 		if peers := s.unknown(s.clock.Now()); len(peers) > 0 {
-			s.fleet.shell.Rejoin(peers)
+			s.fleet.shell.Meet(peers)
 		}
 	}
 }
