--- a/internal/conf/fold/fold_test.go
+++ b/internal/conf/fold/fold_test.go
@@ -108,10 +108,12 @@
 	g := NewWithT(t)
 	s := fold.New()
 	n := int64(0)
-	say := func(kind applog.Kind, address string, incarnation int, at clock.Milli) {
+	say := func(kind applog.Kind, address string, incarnation uint64, at clock.Milli) {
 		n++
-		body := fmt.Sprintf(`{"address":%q,"centre":"north","incarnation":%d}`, address, incarnation)
-		s.Apply(n, applog.Record{ID: fmt.Sprint(n), Kind: kind, At: float64(at), Body: []byte(body)})
+		p := fold.FirstPeer{Address: address, Centre: "north", Incarnation: incarnation}
+		r, err := fold.NewAnnounce(p, kind == applog.KindLeave, float64(at))
+		g.Expect(err).NotTo(HaveOccurred())
+		s.Apply(n, r)
 	}
 	for i := range 6 {
 		say(applog.KindAnnounce, fmt.Sprintf("10.0.0.%d:1", i), 1, 0)
--- a/internal/conf/fold/peers.go
+++ b/internal/conf/fold/peers.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"slices"
 
+	"github.com/pkg/errors"
+
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/applog"
 )
@@ -29,6 +32,21 @@
 	Offset int64   `json:"offset,omitempty"`
 }
 
+// NewAnnounce returns the record that announces a daemon, or its leaving.
+func NewAnnounce(p FirstPeer, leave bool, at float64) (applog.Record, error) {
+	p.AtMS, p.Offset = 0, 0
+	body, err := json.Marshal(p)
+	if err != nil {
+		return applog.Record{}, errors.Wrap(err, "encode announcement")
+	}
+	kind := applog.KindAnnounce
+	if leave {
+		kind = applog.KindLeave
+	}
+	id := fmt.Sprintf("%s-%s-%d", kind, p.Address, p.Incarnation)
+	return applog.Record{ID: id, Kind: kind, At: at, Author: p.Address, Body: body}, nil
+}
+
 // FirstPeers returns the announced daemons that have not expired at now, the
 // newest first. The expiry is applied here and not in the fold, which has no
 // clock.
--- a/internal/conf/fold/state.go
+++ b/internal/conf/fold/state.go
@@ -126,8 +126,12 @@
 	return s, nil
 }
 
-// DigestOf returns the digest of a record.
+// DigestOf returns the digest of a record. The body of a snapshot is left
+// out, so that daemons need not hand it to each other: its id holds its hash.
 func DigestOf(r applog.Record) uint64 {
+	if r.Kind == applog.KindSnapshot {
+		r.Body = nil
+	}
 	b, err := json.Marshal(r)
 	if err != nil {
 		panic(errors.Wrap(err, "encode record"))
--- a/internal/conf/follow/coverage.go
+++ b/internal/conf/follow/coverage.go
@@ -67,5 +67,5 @@
 func (f *Follower) NoteRevision(member string, revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.known[member] = max(f.known[member], revision)
+	f.known[member] = revision
 }
--- a/internal/conf/follow/exchange.go
+++ b/internal/conf/follow/exchange.go
@@ -128,7 +128,8 @@
 		f.mu.Unlock()
 		return errors.Wrapf(errGeneration, "peer %s: %s, here %s", peer, generation, f.generation)
 	}
-	f.known[peer] = max(f.known[peer], revision)
+	// A lower revision than before means that the peer began anew.
+	f.known[peer] = revision
 	f.mu.Unlock()
 	if len(state) > 0 {
 		if err := f.restore(state, hash); err != nil {
--- a/internal/conf/follow/follow_test.go
+++ b/internal/conf/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -184,6 +185,7 @@
 	}
 	g.Eventually(taken, soon, "5ms").Should(BeNumerically(">=", 1))
 	g.Consistently(taken, time.Second, "50ms").Should(BeNumerically("<=", 3))
+	g.Expect(expvar.Get("config_snapshots").(*expvar.Map).Get("mismatch")).To(BeNil())
 	bad := applog.Record{ID: "bad", Kind: applog.KindSnapshot, Body: []byte(`{"applied":11,"hash":1,"state":"AAAA"}`)}
 	l := applog.NewHTTP(f.url)
 	defer l.Close()
--- a/internal/conf/follow/follower.go
+++ b/internal/conf/follow/follower.go
@@ -167,6 +167,10 @@
 func (f *Follower) offer(entries []applog.Entry) {
 	f.mu.Lock()
 	for _, e := range entries {
+		if e.Record.Kind == applog.KindSnapshot {
+			// The state in it would use up the bytes that daemons may exchange.
+			e.Record.Body = nil
+		}
 		// A record that waits for a missing one was spread already. What is
 		// read at start is old to the others.
 		spread := f.ready && !f.q.Holds(e.Offset)
--- a/internal/conf/follow/snapshot.go
+++ b/internal/conf/follow/snapshot.go
@@ -32,6 +32,9 @@
 	searchGrow  = 4
 )
 
+// snapshotID is the form of a snapshot record's id: offset and hash.
+const snapshotID = "snapshot-%d-%x"
+
 var snapshotCounts = expvar.NewMap("config_snapshots")
 
 // envelope is the body of a snapshot record.
@@ -74,7 +77,7 @@
 		return
 	}
 	var env envelope
-	if json.Unmarshal(e.Record.Body, &env) != nil {
+	if _, err := fmt.Sscanf(e.Record.ID, snapshotID, &env.Applied, &env.Hash); err != nil {
 		snapshotCounts.Add("malformed", 1)
 		return
 	}
@@ -132,7 +135,7 @@
 		return applog.Record{}, false
 	}
 	return applog.Record{
-		ID:   fmt.Sprintf("snapshot-%d-%016x", s.mine.Applied, s.mine.Hash),
+		ID:   fmt.Sprintf(snapshotID, s.mine.Applied, s.mine.Hash),
 		Kind: applog.KindSnapshot, Base: st.Config().Revision, At: float64(now), Author: f.o.Member, Body: body,
 	}, true
 }
