--- a/cmd/measure-config/main.go
+++ b/cmd/measure-config/main.go
@@ -37,6 +37,7 @@
 	o       options
 	log     *logsrv.Server
 	daemons []*follow.Follower
+	locals  []*follow.Local
 }
 
 func main() {
@@ -76,7 +77,9 @@
 		defer func() {
 			for j, to := range b.daemons {
 				if j != i {
-					peers = append(peers, &follow.Local{Name: fmt.Sprintf("m%d", j), Delay: b.o.Delay, To: to})
+					l := &follow.Local{Name: fmt.Sprintf("m%d", j), Delay: b.o.Delay, To: to}
+					peers = append(peers, l)
+					b.locals = append(b.locals, l)
 				}
 			}
 			go func() { _ = d.Serve(ctx) }()
@@ -92,6 +95,7 @@
 	accepted := make([]time.Duration, 0, b.o.Changes)
 	requested := make([]time.Duration, 0, b.o.Changes)
 	failed := 0
+	began, before := time.Now(), b.bytes()
 	for i := range b.o.Changes {
 		b.log.SetFaults(faults)
 		d := b.daemons[i*7%len(b.daemons)]
@@ -112,11 +116,23 @@
 	}
 	worst := report(name, "from_acceptance", accepted)
 	report(name, "from_request", requested)
+	rate := float64(b.bytes()-before) / time.Since(began).Seconds() / float64(len(b.daemons))
+	fmt.Printf("case=%s changes_per_s=%.2f exchange_bytes_per_daemon_s=%.0f\n",
+		name, float64(b.o.Changes)/time.Since(began).Seconds(), rate)
 	fmt.Printf("case=%s failed=%d goal_ms=%d aim_ms=%d within_goal=%t within_aim=%t\n",
 		name, failed, goal.Milliseconds(), aim.Milliseconds(), failed == 0 && worst <= goal, failed == 0 && worst <= aim)
 	return failed == 0 && worst <= goal
 }
 
+// bytes returns the bytes of all exchanges, each counted once.
+func (b *bench) bytes() int64 {
+	var sum int64
+	for _, l := range b.locals {
+		sum += l.Bytes.Load()
+	}
+	return sum
+}
+
 // settle waits until a revision is in force everywhere.
 func (b *bench) settle(revision int64) bool {
 	deadline := time.Now().Add(patient)
--- a/internal/conf/follow/follow_test.go
+++ b/internal/conf/follow/follow_test.go
@@ -198,6 +198,32 @@
 	g.Expect(d.Config()).To(Equal(f.list[0].Config()))
 }
 
+// Guards against a snapshot that differs from the own state unnoticed, and
+// against a state or records taken from a peer that follows another log.
+func TestForeignStateIsNotTaken(t *testing.T) {
+	g := NewWithT(t)
+	d := follow.New(nil, nil, quick)
+	m := &wire.ConfExchange{Generation: "g1", Applied: 20}
+	for i := int64(1); i <= 9; i++ {
+		r := out(fmt.Sprint(i), fmt.Sprint(i), i-1)
+		if i == 9 {
+			r = applog.Record{ID: "snapshot-8-1", Kind: applog.KindSnapshot}
+		}
+		m.Entries = append(m.Entries, &wire.ConfEntry{Offset: i, Id: r.ID, Kind: string(r.Kind), Base: r.Base, Body: r.Body})
+	}
+	_, err := d.Handle(m)
+	g.Expect(err).NotTo(HaveOccurred())
+	counts := expvar.Get("config_snapshots").(*expvar.Map)
+	defer counts.Delete("mismatch")
+	g.Expect(counts.Get("mismatch").String()).To(Equal("1"))
+
+	m.Generation = "g2"
+	m.Entries = []*wire.ConfEntry{{Offset: 10, Id: "x", Kind: "change"}}
+	_, err = d.Handle(m)
+	g.Expect(err).To(MatchError(ContainSubstring("another generation")))
+	g.Expect(d.Applied()).To(BeEquivalentTo(9))
+}
+
 // Guards against a daemon that takes the rest of a log for the whole of it.
 func TestNoSnapshotIsReported(t *testing.T) {
 	g := NewWithT(t)
