--- a/Makefile
+++ b/Makefile
@@ -37,5 +37,6 @@
 	$(GO) test -race -count=1 -timeout 8m $(PKG)
 
 # Prints slopes and goals of the control plane as key=value lines.
-measure-scale: build
+measure-scale:
+	$(GO) build -o $(BIN)/ ./cmd/measure-scale
 	$(BIN)/measure-scale
