guard: refuse duplicates of a call in progress before admission

'duplicate beside the call keeps its slot taken' failed first: the duplicate was answered not_run/slots_full while its original ran, and an admitted duplicate released the original's slot at its end. Duplicates are now refused as unknown/duplicate before the admitter sees them.

Also: a connection is sealed before the guard claims that no byte reached the upstream; POST without a body is sent with Content-Length 0 instead of chunked and lookups start no probing goroutine; small bodies leave in one write with the head; request trailers are forwarded; a failed accept no longer ends all sessions.

--- a/internal/path/guard/admission.go
+++ b/internal/path/guard/admission.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 )
@@ -26,36 +28,56 @@
 	}
 }
 
-// acquire asks for admission and waits while the call is queued.
+// acquire asks for admission and waits while the call is queued. Duplicates
+// never reach the admitter, which counts calls by their id.
 func (g *Guard) acquire(ctx context.Context, r *call.Request) call.Reason {
 	ch := make(chan admit.Action, 1)
 	g.mu.Lock()
+	if _, dup := g.held[r.ID]; dup || !r.Repeatable && g.ledger.Handed(r.ID) {
+		g.mu.Unlock()
+		return call.ReasonDuplicate
+	}
+	g.held[r.ID] = struct{}{}
 	g.waiting[r.ID] = ch
 	g.deliver(g.admit.Offer(g.clock.Now(), admit.Ticket{ID: r.ID, Class: r.Class, Deadline: r.Deadline}))
 	g.mu.Unlock()
 	select {
 	case a := <-ch:
-		return refusal(a)
+		return g.admitted(a)
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	if _, queued := g.waiting[r.ID]; queued {
 		delete(g.waiting, r.ID)
+		delete(g.held, r.ID)
 		g.deliver(g.admit.Cancel(g.clock.Now(), r.ID))
-		return call.ReasonCancelled
+		g.mu.Unlock()
+		return endReason(ctx)
 	}
+	g.mu.Unlock()
 	// The decision arrived at the same time; it counts.
-	return refusal(<-ch)
+	return g.admitted(<-ch)
 }
 
-func refusal(a admit.Action) call.Reason {
+// admitted returns the reason of a refusal and forgets the refused call.
+func (g *Guard) admitted(a admit.Action) call.Reason {
 	if a.Admit {
 		return call.ReasonNone
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.held, a.ID)
 	return a.Reason
 }
 
+// endReason explains the end of a call's context.
+func endReason(ctx context.Context) call.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return call.ReasonDeadline
+	}
+	return call.ReasonCancelled
+}
+
 // deliver passes decisions to the calls that wait for them. The caller holds
 // the lock.
 func (g *Guard) deliver(actions []admit.Action) {
@@ -71,6 +93,7 @@
 func (g *Guard) release(id call.ID, r admit.Result) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	delete(g.held, id)
 	g.deliver(g.admit.Done(g.clock.Now(), id, r))
 }
 
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -40,17 +40,16 @@
 		return false
 	}
 	if reason := g.handOver(x.request); reason != call.ReasonNone {
-		out := call.NotRun
-		if reason == call.ReasonDuplicate {
-			out = call.Unknown
-		}
-		return x.stream.refuse(x.start, out, reason, "")
+		return x.stream.refuse(x.start, outcome(reason), reason, "")
 	}
 	x.handed = g.clock.Now()
 	req, err := g.upstream.request(ctx, &x.trace, x.start, body, x.request, x.handed)
 	if err != nil {
 		return x.stream.refuse(x.start, call.NotRun, call.ReasonBadRequest, err.Error())
 	}
+	if x.body != nil {
+		req.Trailer = x.body.trailer
+	}
 	resp, err := g.upstream.transport.RoundTrip(req)
 	if err != nil {
 		return x.fail(ctx, err)
@@ -64,12 +63,13 @@
 
 // openBody returns the request body. A body that is not complete yet is only
 // sent by the entry after it knows that the call was admitted.
-func (x *exchange) openBody(ctx context.Context) (io.Reader, bool) {
+func (x *exchange) openBody(ctx context.Context) (io.ReadCloser, bool) {
 	if x.start.GetBodyComplete() {
-		return bytes.NewReader(x.start.GetBody()), true
+		// The client recognises this type and sends head and body in one write.
+		return io.NopCloser(bytes.NewReader(x.start.GetBody())), true
 	}
 	err := x.stream.link.Send(&wire.Frame{Body: &wire.Frame_Admitted{Admitted: &wire.Admitted{Id: x.start.GetId()}}})
-	x.body = &bodyReader{ctx: ctx, stream: x.stream}
+	x.body = &bodyReader{ctx: ctx, stream: x.stream, trailer: trailerOf(x.start)}
 	return x.body, err == nil
 }
 
@@ -93,7 +93,7 @@
 		out, reason = call.NotRun, call.ReasonDialFailed
 	}
 	if ctx.Err() != nil {
-		reason = call.ReasonDeadline
+		reason = endReason(ctx)
 	}
 	if x.result.Failed {
 		g.sample(Sample{Request: x.request, Failed: true, Latency: x.result.Latency})
--- a/internal/path/guard/guard.go
+++ b/internal/path/guard/guard.go
@@ -46,6 +46,8 @@
 	admit   *admit.Admitter
 	ledger  *ledger.Ledger
 	waiting map[call.ID]chan admit.Action
+	// held has the calls from their offer to the admitter until their end.
+	held    map[call.ID]struct{}
 	leaving bool
 	active  int
 	idle    chan struct{}
@@ -88,6 +90,7 @@
 		admit:    admit.New(self.Slots),
 		ledger:   ledger.New(),
 		waiting:  make(map[call.ID]chan admit.Action),
+		held:     make(map[call.ID]struct{}),
 		idle:     make(chan struct{}),
 	}
 	for _, o := range opts {
--- /dev/null
+++ b/internal/path/guard/guard_test.go
@@ -0,0 +1,230 @@
+package guard_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/bench/mesh"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// start is a booking with the given last byte of the id.
+func start(clk clock.Clock, id byte) *wire.CallStart {
+	now := float64(clk.Now())
+	return &wire.CallStart{
+		Id: append(make([]byte, call.IDSize-1), id), Service: mesh.Service, Method: "POST", Uri: "/", Host: "svc",
+		Deadline: now + 2000, SentAt: now, BodyComplete: true, GuardIncarnation: 1,
+	}
+}
+
+func callFrame(c *wire.CallStart) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_CallStart{CallStart: c}}
+}
+
+func fenceFrame(c *wire.CallStart, incarnation uint64) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Fence{Fence: &wire.Fence{
+		Id: c.GetId(), Incarnation: incarnation, Deadline: c.GetDeadline(), SentAt: c.GetSentAt(),
+	}}}
+}
+
+func ask(g *WithT, p *link.Pool, n *mesh.Node, f *wire.Frame) *wire.Frame {
+	st, err := p.Stream(context.Background(), n.Target.ID)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer st.Close()
+	g.Expect(st.Send(f)).To(Succeed())
+	r, err := st.Receive()
+	g.Expect(err).NotTo(HaveOccurred())
+	return r
+}
+
+// Guards against a second run of a booking, and a run after the guard proved
+// that there is none, whatever frames an entry sends.
+func TestFencesAndDuplicates(t *testing.T) {
+	refusal := func(f *wire.Frame) [2]string {
+		r := f.GetRefused()
+		return [2]string{call.Outcome(r.GetOutcome()).String(), call.Reason(r.GetReason()).String()}
+	}
+	type bench struct {
+		*WithT
+		m       *mesh.Mesh
+		n       *mesh.Node
+		running chan struct{}
+		hold    chan struct{}
+	}
+	tests := map[string]struct {
+		runs int32
+		run  func(b *bench, c *wire.CallStart)
+	}{
+		"fence before the call": {0, func(b *bench, c *wire.CallStart) {
+			f := ask(b.WithT, b.m.Pool, b.n, fenceFrame(c, 1)).GetFenceReply()
+			b.Expect(call.Outcome(f.GetOutcome())).To(Equal(call.NotRun))
+			b.Expect(refusal(ask(b.WithT, b.m.Pool, b.n, callFrame(c)))).To(Equal([2]string{"not_run", "fenced"}))
+		}},
+		"fence of another incarnation": {0, func(b *bench, c *wire.CallStart) {
+			f := ask(b.WithT, b.m.Pool, b.n, fenceFrame(c, 2)).GetFenceReply()
+			b.Expect(call.Outcome(f.GetOutcome())).To(Equal(call.Unknown))
+		}},
+		"fence after the call": {1, func(b *bench, c *wire.CallStart) {
+			close(b.hold)
+			b.Expect(ask(b.WithT, b.m.Pool, b.n, callFrame(c)).GetReplyHead()).NotTo(BeNil())
+			f := ask(b.WithT, b.m.Pool, b.n, fenceFrame(c, 1)).GetFenceReply()
+			b.Expect(call.Outcome(f.GetOutcome())).To(Equal(call.Unknown))
+		}},
+		"duplicate after the call": {1, func(b *bench, c *wire.CallStart) {
+			close(b.hold)
+			b.Expect(ask(b.WithT, b.m.Pool, b.n, callFrame(c)).GetReplyHead()).NotTo(BeNil())
+			b.Expect(refusal(ask(b.WithT, b.m.Pool, b.n, callFrame(c)))).To(Equal([2]string{"unknown", "duplicate"}))
+		}},
+		"duplicate beside the call keeps its slot taken": {1, func(b *bench, c *wire.CallStart) {
+			go func() { _ = ask(b.WithT, b.m.Pool, b.n, callFrame(c)) }()
+			<-b.running
+			b.Expect(refusal(ask(b.WithT, b.m.Pool, b.n, callFrame(c)))).To(Equal([2]string{"unknown", "duplicate"}))
+			b.Expect(refusal(ask(b.WithT, b.m.Pool, b.n, callFrame(start(b.m.Clock, 9))))).To(Equal([2]string{"not_run", "slots_full"}))
+			close(b.hold)
+		}},
+		"passed deadline": {0, func(b *bench, c *wire.CallStart) {
+			c.Deadline = c.GetSentAt() - 1
+			b.Expect(refusal(ask(b.WithT, b.m.Pool, b.n, callFrame(c)))).To(Equal([2]string{"not_run", "deadline"}))
+		}},
+		"wrong incarnation": {0, func(b *bench, c *wire.CallStart) {
+			c.GuardIncarnation = 7
+			b.Expect(refusal(ask(b.WithT, b.m.Pool, b.n, callFrame(c)))).To(Equal([2]string{"not_run", "wrong_service"}))
+		}},
+		"request id of a wrong size": {0, func(b *bench, c *wire.CallStart) {
+			c.Id = []byte("short")
+			b.Expect(refusal(ask(b.WithT, b.m.Pool, b.n, callFrame(c)))).To(Equal([2]string{"not_run", "bad_request"}))
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := &bench{WithT: NewWithT(t), m: mesh.New(t), running: make(chan struct{}, 10), hold: make(chan struct{})}
+			var runs atomic.Int32
+			b.n = b.m.Add(mesh.Spec{Slots: 1, Handler: func(http.ResponseWriter, *http.Request) {
+				runs.Add(1)
+				b.running <- struct{}{}
+				select {
+				case <-b.hold:
+				case <-time.After(3 * time.Second):
+				}
+			}})
+			tt.run(b, start(b.m.Clock, 1))
+			b.Eventually(b.n.Guard.InProgress, "2s").Should(BeZero())
+			b.Expect(runs.Load()).To(Equal(tt.runs))
+		})
+	}
+}
+
+// Guards against a fence and a call that both win: proved "not run", yet run.
+func TestFenceRacesCall(t *testing.T) {
+	g := NewWithT(t)
+	m := mesh.New(t)
+	var ran sync.Map
+	n := m.Add(mesh.Spec{Slots: 1000, Handler: func(_ http.ResponseWriter, r *http.Request) {
+		ran.Store(strings.ToLower(r.Header.Get("Cranberrytack-Request-Id")), true)
+	}})
+	var wg sync.WaitGroup
+	for i := range 100 {
+		c := start(m.Clock, byte(i))
+		wg.Go(func() { _ = ask(g, m.Pool, n, callFrame(c)) })
+		wg.Go(func() {
+			f := ask(g, m.Pool, n, fenceFrame(c, 1)).GetFenceReply()
+			time.Sleep(100 * time.Millisecond)
+			_, run := ran.Load(call.ID(c.GetId()).String())
+			if call.Outcome(f.GetOutcome()) == call.NotRun {
+				g.Expect(run).To(BeFalse())
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Guards against a run after the deadline when the guard was paused between
+// the arrival of a call and its admission.
+func TestGuardPausedBeforeHandOver(t *testing.T) {
+	g := NewWithT(t)
+	real := clock.NewReal()
+	guardClock := clock.NewManual(real.Now() + 5000)
+	m := mesh.New(t)
+	var runs atomic.Int32
+	n := m.Add(mesh.Spec{Clock: guardClock, Handler: func(http.ResponseWriter, *http.Request) { runs.Add(1) }})
+	// The handshake fixes the offset of the clocks, which differ by 5 s.
+	_, err := m.Pool.Stream(context.Background(), n.Target.ID)
+	g.Expect(err).NotTo(HaveOccurred())
+	guardClock.Advance(2100)
+	r := ask(g, m.Pool, n, callFrame(start(real, 1))).GetRefused()
+	g.Expect(call.Reason(r.GetReason())).To(Equal(call.ReasonDeadline))
+	g.Expect(call.Outcome(r.GetOutcome())).To(Equal(call.NotRun))
+	g.Expect(runs.Load()).To(BeZero())
+}
+
+// Guards against incomplete responses that callers take for complete, wrong
+// claims that a request did not run, and replays by the HTTP client.
+func TestUpstreamBreaksOff(t *testing.T) {
+	write := func(s string) func(*net.TCPConn) { return func(c *net.TCPConn) { _, _ = io.WriteString(c, s) } }
+	reset := func(c *net.TCPConn) { _ = c.SetLinger(0) }
+	const ok = "HTTP/1.1 200 OK\r\n"
+	tests := map[string]struct {
+		method string
+		answer func(*net.TCPConn)
+		status int
+		cut    bool
+		body   string
+	}{
+		"short of its content length": {"POST", write(ok + "Content-Length: 100\r\n\r\nabc"), 0, true, ""},
+		"nothing of its body":         {"POST", write(ok + "Content-Length: 100\r\n\r\n"), 0, true, ""},
+		"long body cut":               {"POST", write(ok + "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 50000)), 0, true, ""},
+		"chunked without last chunk":  {"POST", write(ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"), 0, true, ""},
+		"chunk cut":                   {"POST", write(ok + "Transfer-Encoding: chunked\r\n\r\n30\r\nabc"), 0, true, ""},
+		"head cut":                    {"POST", write("HTTP/1.1 200 O"), 502, false, ""},
+		"head with length":            {"HEAD", write(ok + "Content-Length: 100\r\n\r\n"), 200, false, ""},
+		"head cut on HEAD":            {"HEAD", write("HTTP/1.1 200"), 502, false, ""},
+		"reset after the request":     {"POST", reset, 502, false, ""},
+		"closed after the request":    {"POST", func(*net.TCPConn) {}, 502, false, ""},
+		"lookup, closed":              {"GET", func(*net.TCPConn) {}, 502, false, ""},
+		"garbage":                     {"POST", write("SSH-2.0-x\r\n"), 502, false, ""},
+		"oversize header":             {"POST", write(ok + "X: " + strings.Repeat("x", 100<<10) + "\r\n\r\n"), 502, false, ""},
+		"until close":                 {"POST", write(ok + "\r\nabc"), 200, false, "abc"},
+		"complete":                    {"POST", write(ok + "Content-Length: 3\r\n\r\nabc"), 200, false, "abc"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var runs atomic.Int32
+			m := mesh.New(t)
+			m.Add(mesh.Spec{Address: mesh.RawUpstream(t, func(c *net.TCPConn, _ *http.Request) bool {
+				runs.Add(1)
+				tt.answer(c)
+				return false
+			})})
+			r := m.Do(m.Request(tt.method, "/", nil))
+			g.Expect(runs.Load()).To(BeNumerically("==", 1))
+			g.Expect(r.Err != nil).To(Equal(tt.cut))
+			if !tt.cut {
+				g.Expect(r.Status).To(Equal(tt.status))
+			}
+			if tt.status == 502 {
+				g.Expect(r.Outcome()).To(Equal([2]string{"unknown", "upstream_failed"}))
+			}
+			if tt.body != "" {
+				g.Expect(string(r.Body)).To(Equal(tt.body))
+			}
+		})
+	}
+}
--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"net/textproto"
 
 	"github.com/pkg/errors"
 
@@ -87,12 +89,21 @@
 	ctx, cancel := context.WithTimeout(ctx, (r.Deadline - now).Duration())
 	defer cancel()
 	if reason = g.acquire(ctx, r); reason != call.ReasonNone {
-		return s.refuse(c, call.NotRun, reason, "")
+		return s.refuse(c, outcome(reason), reason, "")
 	}
 	x := &exchange{stream: s, start: c, request: r}
 	return x.run(ctx)
 }
 
+// outcome is that of a call that was not handed over. The original of a
+// duplicate may have run.
+func outcome(reason call.Reason) call.Outcome {
+	if reason == call.ReasonDuplicate {
+		return call.Unknown
+	}
+	return call.NotRun
+}
+
 // parse checks a call and translates its deadline to the local clock.
 func (g *Guard) parse(c *wire.CallStart, off *link.Offset) (*call.Request, call.Reason) {
 	id, err := call.IDFrom(c.GetId())
@@ -138,6 +149,8 @@
 	stream *stream
 	rest   []byte
 	done   bool
+	// trailer receives the values of the announced trailers.
+	trailer http.Header
 }
 
 // Read implements io.Reader.
@@ -152,8 +165,20 @@
 		}
 		b.rest = f.GetBodyChunk().GetData()
 		b.done = f.GetBodyChunk().GetLast()
+		for _, t := range f.GetBodyChunk().GetTrailers() {
+			if name := textproto.CanonicalMIMEHeaderKey(t.GetName()); b.trailer != nil {
+				if _, ok := b.trailer[name]; ok {
+					b.trailer[name] = t.GetValues()
+				}
+			}
+		}
 	}
 	n := copy(p, b.rest)
 	b.rest = b.rest[n:]
 	return n, nil
 }
+
+// Close implements io.Closer.
+func (b *bodyReader) Close() error {
+	return nil
+}
--- a/internal/path/guard/upstream.go
+++ b/internal/path/guard/upstream.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"strconv"
 	"sync/atomic"
 
@@ -54,11 +55,15 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	sealed  atomic.Bool
 }
 
 // Write implements net.Conn.
 func (c *countingConn) Write(b []byte) (int, error) {
 	c.written.Add(int64(len(b)))
+	if c.sealed.Load() {
+		return 0, net.ErrClosed
+	}
 	return c.Conn.Write(b)
 }
 
@@ -89,33 +94,70 @@
 }
 
 // reached reports whether a byte of the request may have reached the upstream.
+// It is asked after a failure; the connection is sealed first, so that no
+// later write can make a negative answer wrong.
 func (t *trace) reached() bool {
 	c := t.conn.Load()
-	return c != nil && c.written.Load() > t.before.Load()
+	if c == nil {
+		return false
+	}
+	c.sealed.Store(true)
+	return c.written.Load() > t.before.Load()
+}
+
+// trailerOf returns the announced trailers, still without values.
+func trailerOf(c *wire.CallStart) http.Header {
+	if len(c.GetTrailers()) == 0 {
+		return nil
+	}
+	h := make(http.Header)
+	for _, name := range c.GetTrailers() {
+		h[textproto.CanonicalMIMEHeaderKey(name)] = nil
+	}
+	return h
 }
 
-// onceBody is a body that the HTTP client can't send a second time: it has no
-// GetBody and is never http.NoBody, so the client does not replay by itself.
+// onceBody hides the type of a body from the HTTP client.
 type onceBody struct {
-	io.Reader
+	io.ReadCloser
 }
 
-// Close implements io.Closer.
-func (onceBody) Close() error {
-	return nil
+// setBody gives the request a body that the HTTP client can't send a second
+// time: it has no GetBody and is not http.NoBody where the client would
+// replay a request without one.
+func setBody(req *http.Request, c *wire.CallStart, body io.ReadCloser) {
+	req.Body = body
+	req.ContentLength = c.GetContentLength()
+	if req.ContentLength != 0 {
+		return
+	}
+	switch req.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		// The client replays a request with one of these headers.
+		if req.Header.Get("Idempotency-Key") == "" && req.Header.Get("X-Idempotency-Key") == "" {
+			req.Body = http.NoBody
+			return
+		}
+	}
+	// Without a stated encoding, the client starts a goroutine to find out
+	// whether the body is empty, and sends some bodies chunked.
+	req.Body = onceBody{body}
+	req.TransferEncoding = []string{"identity"}
 }
 
-func (u *upstream) request(ctx context.Context, t *trace, c *wire.CallStart, body io.Reader, r *call.Request, now clock.Milli) (*http.Request, error) {
+func (u *upstream) request(ctx context.Context, t *trace, c *wire.CallStart, body io.ReadCloser, r *call.Request, now clock.Milli) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
-	req, err := http.NewRequestWithContext(ctx, c.GetMethod(), u.base+c.GetUri(), onceBody{body})
+	req, err := http.NewRequestWithContext(ctx, c.GetMethod(), u.base+c.GetUri(), nil)
 	if err != nil {
 		return nil, err
 	}
 	req.Host = c.GetHost()
-	req.ContentLength = c.GetContentLength()
 	header.Decode(req.Header, c.GetHeaders())
 	req.Header.Set(header.RequestID, r.ID.String())
 	req.Header.Set(header.Depth, strconv.Itoa(r.Depth))
+	// The entry has answered the caller's expectation.
+	req.Header.Del("Expect")
+	setBody(req, c, body)
 	left := max(int(r.Deadline-now), 1)
 	req.Header.Set(header.TimeoutMs, strconv.Itoa(left))
 	return req, nil
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -23,6 +24,9 @@
 // 3,200 daemons planned for may hold one, with room for reconnects.
 const DefaultMaxSessions = 4096
 
+// acceptPause is the wait after a failed accept.
+const acceptPause = 50 * clock.Millisecond
+
 // Server accepts sessions from other daemons.
 type Server struct {
 	self        Identity
@@ -89,7 +93,13 @@
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
-			return errors.Wrap(ErrClosed, err.Error())
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(ErrClosed, err.Error())
+			}
+			// For example too many open files: the sessions in use must go on.
+			s.log.Warn().Err(err).Msg("accept_failed")
+			time.Sleep(acceptPause.Duration())
+			continue
 		}
 		if !s.register(conn) {
 			s.log.Warn().Str("peer", conn.RemoteAddr().String()).Int("limit", s.maxSessions).Msg("peer_refused")
