link: bound the streams of a session and tell refused peers why

TestRefusedHandshakes failed first, about once in five runs: the server closed the session right after its refusal, and the dialer saw 'session shutdown' instead of 'wrong fleet'. The server now waits up to 500 ms for the peer to close. A session that opens more than 2,048 streams is closed; before, a peer could open any number.

--- /dev/null
+++ b/internal/core/ledger/ledger_test.go
@@ -0,0 +1,82 @@
+package ledger_test
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/ledger"
+)
+
+const deadline = 1000
+
+// Guards against a record that is dropped too early or ignored.
+func TestLedger(t *testing.T) {
+	id := call.ID{1}
+	booking := &call.Request{ID: id, Deadline: deadline}
+	lookup := &call.Request{ID: id, Deadline: deadline, Repeatable: true}
+	type step struct {
+		at    clock.Milli
+		hand  *call.Request
+		want  call.Reason
+		proof call.Outcome
+	}
+	tests := map[string][]step{
+		"once":                       {{0, booking, call.ReasonNone, 0}, {1, booking, call.ReasonDuplicate, 0}},
+		"lookup may repeat":          {{0, lookup, call.ReasonNone, 0}, {1, lookup, call.ReasonNone, 0}},
+		"at the deadline":            {{deadline, booking, call.ReasonDeadline, 0}},
+		"fence wins":                 {{0, nil, 0, call.NotRun}, {1, booking, call.ReasonFenced, 0}, {2, lookup, call.ReasonFenced, 0}},
+		"fence twice":                {{0, nil, 0, call.NotRun}, {1, nil, 0, call.NotRun}},
+		"handed over before":         {{0, booking, call.ReasonNone, 0}, {1, nil, 0, call.Unknown}},
+		"kept for the least time":    {{0, booking, call.ReasonNone, 0}, {deadline + ledger.MinKeep - 1, nil, 0, call.Unknown}},
+		"fence after its record":     {{deadline + ledger.MinKeep, nil, 0, call.Unknown}},
+		"late fence, never handed":   {{deadline + ledger.MinKeep - 1, nil, 0, call.NotRun}},
+		"fence kept past deadline":   {{deadline + 10, nil, 0, call.NotRun}, {deadline + 20, booking, call.ReasonDeadline, 0}},
+		"lookup after fence refused": {{0, lookup, call.ReasonNone, 0}, {5, nil, 0, call.Unknown}, {6, lookup, call.ReasonNone, 0}},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			l := ledger.New()
+			for i, s := range steps {
+				if s.hand != nil {
+					g.Expect(l.HandOver(s.at, s.hand)).To(Equal(s.want), "step %d", i)
+				} else {
+					g.Expect(l.Fence(s.at, id, deadline)).To(Equal(s.proof), "step %d", i)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a run after "not run" in any order of events, and against
+// records that pile up.
+func TestLedgerInRandomOrder(t *testing.T) {
+	for seed := range uint64(50) {
+		g := NewWithT(t)
+		r := rand.New(rand.NewPCG(seed, 1))
+		l := ledger.New()
+		ran, proved := map[call.ID]bool{}, map[call.ID]bool{}
+		now := clock.Milli(0)
+		for i := range 2000 {
+			now += clock.Milli(r.Float64() * 100)
+			var id call.ID
+			binary.BigEndian.PutUint64(id[:], uint64(i/4)+uint64(r.IntN(3)))
+			if r.IntN(2) == 0 {
+				if l.HandOver(now, &call.Request{ID: id, Deadline: now + 500}) == call.ReasonNone {
+					g.Expect(ran[id] || proved[id]).To(BeFalse(), "seed %d", seed)
+					ran[id] = true
+				}
+			} else if l.Fence(now, id, now+500) == call.NotRun {
+				g.Expect(ran[id]).To(BeFalse(), "seed %d", seed)
+				proved[id] = true
+			}
+		}
+		l.HandOver(now+2*ledger.MinKeep, &call.Request{ID: call.ID{15: 9}, Deadline: now + 3*ledger.MinKeep})
+		g.Expect(l.Len()).To(Equal(1), "seed %d", seed)
+	}
+}
--- a/internal/path/guard/guard_test.go
+++ b/internal/path/guard/guard_test.go
@@ -159,8 +159,8 @@
 // the arrival of a call and its admission.
 func TestGuardPausedBeforeHandOver(t *testing.T) {
 	g := NewWithT(t)
-	real := clock.NewReal()
-	guardClock := clock.NewManual(real.Now() + 5000)
+	wall := clock.NewReal()
+	guardClock := clock.NewManual(wall.Now() + 5000)
 	m := mesh.New(t)
 	var runs atomic.Int32
 	n := m.Add(mesh.Spec{Clock: guardClock, Handler: func(http.ResponseWriter, *http.Request) { runs.Add(1) }})
@@ -168,7 +168,7 @@
 	_, err := m.Pool.Stream(context.Background(), n.Target.ID)
 	g.Expect(err).NotTo(HaveOccurred())
 	guardClock.Advance(2100)
-	r := ask(g, m.Pool, n, callFrame(start(real, 1))).GetRefused()
+	r := ask(g, m.Pool, n, callFrame(start(wall, 1))).GetRefused()
 	g.Expect(call.Reason(r.GetReason())).To(Equal(call.ReasonDeadline))
 	g.Expect(call.Outcome(r.GetOutcome())).To(Equal(call.NotRun))
 	g.Expect(runs.Load()).To(BeZero())
--- a/internal/wire/link/pool.go
+++ b/internal/wire/link/pool.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	st, err := s.open(k)
+	st, err := s.take(k)
 	if err == nil {
 		return st, nil
 	}
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.open(k)
+	return s.take(k)
 }
 
 // Control sends a control message and returns the reply's payload.
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -24,6 +24,10 @@
 // 3,200 daemons planned for may hold one, with room for reconnects.
 const DefaultMaxSessions = 4096
 
+// DefaultMaxStreams bounds the streams of one session. An entry needs one per
+// call in progress at the guard, whose upstream accepts some 240 connections.
+const DefaultMaxStreams = 2048
+
 // acceptPause is the wait after a failed accept.
 const acceptPause = 50 * clock.Millisecond
 
@@ -35,6 +39,7 @@
 	calls       StreamHandler
 	control     map[wire.ControlKind]ControlHandler
 	maxSessions int
+	maxStreams  int64
 
 	mu       sync.Mutex
 	sessions map[net.Conn]*Session
@@ -64,6 +69,11 @@
 	return func(s *Server) { s.maxSessions = n }
 }
 
+// WithMaxStreams bounds the streams that one session has open at once.
+func WithMaxStreams(n int) ServerOption {
+	return func(s *Server) { s.maxStreams = int64(n) }
+}
+
 // NewServer returns a server.
 func NewServer(self Identity, clk clock.Clock, opts ...ServerOption) *Server {
 	s := &Server{
@@ -72,6 +82,7 @@
 		log:         zerolog.Nop(),
 		control:     make(map[wire.ControlKind]ControlHandler),
 		maxSessions: DefaultMaxSessions,
+		maxStreams:  DefaultMaxStreams,
 		sessions:    make(map[net.Conn]*Session),
 	}
 	for _, o := range opts {
@@ -154,6 +165,10 @@
 		if err != nil {
 			return
 		}
+		if sess.open.Add(1) > s.maxStreams {
+			s.log.Warn().Str("peer", sess.Peer().Member).Int64("limit", s.maxStreams).Msg("too_many_streams")
+			return
+		}
 		s.wg.Add(1)
 		go s.loop(ctx, newStream(c, sess))
 	}
@@ -162,6 +177,7 @@
 // loop serves one stream until the peer closes it.
 func (s *Server) loop(ctx context.Context, st *Stream) {
 	defer s.wg.Done()
+	defer st.Session().open.Add(-1)
 	defer st.Close()
 	for {
 		f, err := st.Receive()
--- /dev/null
+++ b/internal/wire/link/server_test.go
@@ -0,0 +1,207 @@
+package link_test
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const echoKind = wire.ControlKind_CONTROL_KIND_STATUS
+
+func identity(fleet string) link.Identity {
+	return link.Identity{Fleet: fleet, Member: "m-" + fleet, Incarnation: 1}
+}
+
+// serve runs a server that echoes control messages and returns its address.
+func serve(t *testing.T, opts ...link.ServerOption) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	opts = append(opts, link.WithControl(echoKind, func(_ context.Context, _ link.Peer, p []byte) ([]byte, error) { return p, nil }))
+	s := link.NewServer(identity("f"), clock.NewReal(), opts...)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = s.Serve(ctx, l); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return l.Addr().String()
+}
+
+func pool(t *testing.T, fleet string) *link.Pool {
+	p := link.NewPool(identity(fleet), clock.NewReal())
+	t.Cleanup(p.Close)
+	return p
+}
+
+func echo(p *link.Pool, addr string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err := p.Control(ctx, addr, echoKind, []byte("x"))
+	return err
+}
+
+// dialMux opens a session without a handshake, and a stream on it.
+func dialMux(g *WithT, c net.Conn) net.Conn {
+	cfg := yamux.DefaultConfig()
+	cfg.LogOutput = &strings.Builder{}
+	mux, err := yamux.Client(c, cfg)
+	g.Expect(err).NotTo(HaveOccurred())
+	st, err := mux.OpenStream()
+	g.Expect(err).NotTo(HaveOccurred())
+	return st
+}
+
+func sized(n uint32, data string) []byte {
+	return append(binary.BigEndian.AppendUint32(nil, n), data...)
+}
+
+// Guards against a faulty peer that harms other links or uses up memory.
+func TestFaultyPeers(t *testing.T) {
+	raw := func(s string) func(*WithT, net.Conn) {
+		return func(_ *WithT, c net.Conn) { _, _ = c.Write([]byte(s)) }
+	}
+	first := func(b []byte) func(*WithT, net.Conn) {
+		return func(g *WithT, c net.Conn) { _, _ = dialMux(g, c).Write(b) }
+	}
+	tests := map[string]func(*WithT, net.Conn){
+		"http on the peer port":       raw("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		"zeros":                       raw(strings.Repeat("\x00", 1<<16)),
+		"oversize frame":              first(sized(link.MaxFrameBytes+1, "x")),
+		"largest length":              first(sized(1<<32-1, "x")),
+		"no protobuf":                 first(sized(4, "\xff\xff\xff\xff")),
+		"empty frame":                 first(sized(0, "")),
+		"frame cut short":             func(g *WithT, c net.Conn) { _, _ = dialMux(g, c).Write(sized(100, "x")); _ = c.Close() },
+		"half-open connection":        func(*WithT, net.Conn) {},
+		"session without a first one": func(g *WithT, c net.Conn) { dialMux(g, c) },
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			addr, p := serve(t), pool(t, "f")
+			g.Expect(echo(p, addr)).To(Succeed())
+			c, err := net.Dial("tcp", addr)
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = c.Close() }()
+			fault(g, c)
+			// The server gives the connection up after its handshake limit.
+			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+			g.Eventually(func() error {
+				_, err := c.Read(make([]byte, 1<<10))
+				return err
+			}, "5s").Should(MatchError(Not(ContainSubstring("timeout"))))
+			g.Expect(echo(p, addr)).To(Succeed())
+			g.Expect(p.Size()).To(Equal(1))
+		})
+	}
+}
+
+// Guards against daemons of other fleets or protocols, with an error that
+// says why.
+func TestRefusedHandshakes(t *testing.T) {
+	g := NewWithT(t)
+	addr := serve(t)
+	err := echo(pool(t, "other"), addr)
+	g.Expect(err).To(MatchError(link.ErrHandshake))
+	g.Expect(err).To(MatchError(ContainSubstring("wrong fleet other")))
+	g.Expect(echo(pool(t, "f"), addr)).To(Succeed())
+}
+
+// Guards against frames of an accepted peer that break the protocol: its
+// session ends, others go on.
+func TestBadFramesAfterHandshake(t *testing.T) {
+	hello := &wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{}}}
+	tests := map[string]*wire.Frame{
+		"second hello":       hello,
+		"call without guard": {Body: &wire.Frame_CallStart{CallStart: &wire.CallStart{}}},
+		"empty frame":        {},
+	}
+	for name, f := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			addr, good, bad := serve(t), pool(t, "f"), pool(t, "f")
+			g.Expect(echo(good, addr)).To(Succeed())
+			st, err := bad.Stream(context.Background(), addr)
+			g.Expect(err).NotTo(HaveOccurred())
+			// The server may end the session before Send returns.
+			_ = st.Send(f)
+			_, err = st.Receive()
+			g.Expect(err).To(HaveOccurred())
+			g.Eventually(st.Session().Closed, "2s").Should(BeTrue())
+			g.Expect(echo(good, addr)).To(Succeed())
+			g.Expect(echo(bad, addr)).To(Succeed(), "the peer may connect again")
+		})
+	}
+}
+
+// Guards against oversize frames that the own side would send.
+func TestOversizeFrameIsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	p, addr := pool(t, "f"), serve(t)
+	_, err := p.Control(context.Background(), addr, echoKind, make([]byte, link.MaxFrameBytes))
+	g.Expect(err).To(MatchError(link.ErrFrameTooLarge))
+	g.Expect(echo(p, addr)).To(Succeed())
+}
+
+// Guards against sessions or streams without bound.
+func TestSessionAndStreamLimits(t *testing.T) {
+	g := NewWithT(t)
+	addr := serve(t, link.WithMaxSessions(2), link.WithMaxStreams(50))
+	a, b := pool(t, "f"), pool(t, "f")
+	g.Expect(echo(a, addr)).To(Succeed())
+	g.Expect(echo(b, addr)).To(Succeed())
+	g.Expect(echo(pool(t, "f"), addr)).To(MatchError(link.ErrHandshake))
+	open := func(n int) *link.Stream {
+		var last *link.Stream
+		for range n {
+			if st, err := a.Stream(context.Background(), addr); err == nil {
+				last = st
+			}
+		}
+		return last
+	}
+	open(40)
+	g.Expect(echo(a, addr)).To(Succeed())
+	g.Eventually(open(20).Session().Closed, "2s").Should(BeTrue())
+	g.Expect(echo(b, addr)).To(Succeed())
+	a.Close()
+	g.Eventually(func() error { return echo(pool(t, "f"), addr) }, "2s").Should(Succeed())
+}
+
+// Guards against an offset that a paused process or a drifting clock spoils.
+func TestOffset(t *testing.T) {
+	tests := map[string]struct {
+		samples [][2]clock.Milli // received, sent
+		want    clock.Milli      // of the peer's instant 0
+	}{
+		"no sample":                {nil, 0},
+		"least wins":               {[][2]clock.Milli{{105, 0}, {101, 0}, {190, 0}}, 101},
+		"pause after the first":    {[][2]clock.Milli{{101, 0}, {60000, 0}}, 101},
+		"samples after long pause": {[][2]clock.Milli{{101, 0}, {90000, 100}, {90000, 200}, {90001, 300}}, 101},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			o := link.NewOffset()
+			for _, s := range tt.samples {
+				o.Observe(s[0], s[1])
+			}
+			g.Expect(o.Local(0)).To(Equal(tt.want))
+		})
+	}
+}
--- a/internal/wire/link/session.go
+++ b/internal/wire/link/session.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -23,9 +24,11 @@
 	// whose handshake took longer, for example because the peer was paused,
 	// is given up.
 	maxHandshakeTrip = 500 * clock.Millisecond
-	keepAlive        = 10 * clock.Second
-	writeTimeout     = 5 * clock.Second
-	acceptBacklog    = 1024
+	// refusalWait is how long a refused peer may take to read the reason.
+	refusalWait   = 500 * clock.Millisecond
+	keepAlive     = 10 * clock.Second
+	writeTimeout  = 5 * clock.Second
+	acceptBacklog = 1024
 	// maxIdleStreams bounds the streams that a session keeps for reuse.
 	maxIdleStreams = 256
 )
@@ -48,6 +51,8 @@
 	mux    *yamux.Session
 	peer   Peer
 	offset *Offset
+	// open counts the accepted streams.
+	open atomic.Int64
 
 	mu   sync.Mutex
 	idle [kinds][]*Stream
@@ -73,8 +78,8 @@
 	return s.offset
 }
 
-// open returns an idle stream or a new one.
-func (s *Session) open(k kind) (*Stream, error) {
+// take returns an idle stream or a new one.
+func (s *Session) take(k kind) (*Stream, error) {
 	s.mu.Lock()
 	if n := len(s.idle[k]); n > 0 {
 		st := s.idle[k][n-1]
@@ -204,6 +209,9 @@
 	}
 	if refusal := refuse(hello, self); refusal != "" {
 		_ = st.Send(helloFrame(self, clk, refusal))
+		// Closing at once can discard the refusal before the peer has read it.
+		st.SetReadTimeout(refusalWait)
+		_, _ = st.Receive()
 		return errors.Wrap(ErrHandshake, refusal)
 	}
 	if err := st.Send(helloFrame(self, clk, "")); err != nil {
