daemon: tell the version moves what load a service has

Cause: in the demo the good version stayed at its cap until finish_by, as the moves keep a version at the cap while the load is not known, and nothing told them.

--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -93,7 +93,7 @@
 		guard: d.guard, counts: counts, rules: rules, store: d.explain.store,
 		sending: make(chan struct{}, sendAtOnce),
 		centres: centre.New(centre.WithRamp(d.cfg.Moves.Ramp)), shifts: shift.New(d.self.ID),
-		known: make(map[string]bool), loads: make(map[string]*wire.StatusReply), seen: newHistory(),
+		known: make(map[string]bool), loads: make(map[string]*wire.StatusReply), seen: newHistory(), offers: newOffers(),
 	}
 	d.conf.Subscribe(d.mover.configure)
 }
--- a/internal/node/daemon/evidence.go
+++ b/internal/node/daemon/evidence.go
@@ -19,12 +19,16 @@
 	for _, w := range e.GetSamples() {
 		if s, ok := shift.SampleFromWire(w); ok {
 			m.shifts.Sample(&s)
+			m.offers.add(&s)
 		}
 	}
 	now := m.clock.Now()
 	for _, w := range e.GetNotices() {
 		n := shift.NoticeFromWire(w)
 		m.shifts.Notice(now, &n)
+		if v, ok := m.conf.Config().Exception(n.Move); ok && v.Move != nil && w.GetOffered() > 0 {
+			m.capacity(v.Move.Service, w.GetOffered(), m.fleet.Members())
+		}
 	}
 	m.publish()
 	return &wire.Evidence{}, nil
@@ -83,7 +87,7 @@
 	for _, a := range actions {
 		switch a.Kind {
 		case shift.ActTell:
-			e := &wire.Evidence{Notices: []*wire.Notice{shift.NoticeToWire(&a.Notice)}}
+			e := &wire.Evidence{Notices: []*wire.Notice{m.notice(&a.Notice)}}
 			for _, id := range m.members() {
 				if id != m.self.ID {
 					go m.loopSend(ctx, id, e)
@@ -95,6 +99,19 @@
 	}
 }
 
+// notice adds the service's load to a notice, without which the others keep
+// the new version at its cap.
+func (m *mover) notice(n *shift.Notice) *wire.Notice {
+	w := shift.NoticeToWire(n)
+	v, ok := m.conf.Config().Exception(n.Move)
+	if ok && v.Move != nil {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		w.Offered = m.offers.load[v.Move.Service]
+	}
+	return w
+}
+
 // loopAppend appends a verdict to the log.
 func (m *mover) loopAppend(ctx context.Context, a shift.Action) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout.Duration())
--- a/internal/node/daemon/mover.go
+++ b/internal/node/daemon/mover.go
@@ -55,6 +55,7 @@
 	shifts  *shift.Core
 	known   map[string]bool
 	loads   map[string]*wire.StatusReply
+	offers  *offers
 	last    []centre.Move
 	seen    *history
 }
@@ -115,6 +116,10 @@
 		Slots: uint32(m.self.Slots), Foreground: fore, Background: back,
 	})
 	m.last = m.centres.Step(now)
+	m.offers.step(now)
+	for service, load := range m.offers.load {
+		m.capacity(service, load, members)
+	}
 	actions := m.shifts.Step(now)
 	m.publish()
 	for _, e := range m.seen.events(now, m.last, m.shifts.Progress()) {
