--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PKG := ./...
 GOLANGCI_VERSION := v2.15.0
 
-.PHONY: all build tools generate fmt lint test demo
+.PHONY: all build tools generate fmt lint test demo measure-path
 
 all: build
 
@@ -35,3 +35,6 @@
 test:
 	$(GO) vet $(PKG)
 	$(GO) test -race -count=1 -timeout 8m $(PKG)
+
+measure-path: build
+	$(BIN)/measure-path
--- /dev/null
+++ b/internal/bench/procs/procs.go
@@ -0,0 +1,199 @@
+// Package procs runs the project's programs as processes on loopback, for
+// measurements and for tests that need real processes.
+package procs
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNotReady says that a process did not become ready in time.
+var ErrNotReady = errors.New("process not ready")
+
+const (
+	// Fleet is the fleet of all daemons.
+	Fleet = "procs"
+
+	readyTimeout = 15 * time.Second
+	readyPoll    = 20 * time.Millisecond
+)
+
+// Process is a program that was started.
+type Process struct {
+	Cmd    *exec.Cmd
+	mu     sync.Mutex
+	output bytes.Buffer
+}
+
+// Write collects the output of the process.
+func (p *Process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.output.Write(b)
+}
+
+// Output returns what the process wrote so far.
+func (p *Process) Output() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.output.String()
+}
+
+// Kill ends the process and waits for it.
+func (p *Process) Kill() {
+	_ = p.Cmd.Process.Kill()
+	_ = p.Cmd.Wait()
+}
+
+// Set is a platform log with the processes around it.
+type Set struct {
+	// Bin holds the programs.
+	Bin string
+	// Dir holds the settings files.
+	Dir string
+	Log string
+
+	processes []*Process
+}
+
+// Daemon is a running daemon and its upstream.
+type Daemon struct {
+	*Process
+	Entry    string
+	Admin    string
+	Peer     string
+	Upstream string
+}
+
+// DaemonSpec describes a daemon.
+type DaemonSpec struct {
+	Service   string
+	Slots     int
+	ServiceMs float64
+	// Extra is appended to the settings file.
+	Extra string
+}
+
+// Address returns a free loopback address.
+func Address() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// NewSet starts a platform log. The programs are in bin.
+func NewSet(bin, dir string) (*Set, error) {
+	s := &Set{Bin: bin, Dir: dir}
+	addr, err := Address()
+	if err != nil {
+		return nil, err
+	}
+	s.Log = "http://" + addr
+	if _, err := s.Start("stand-log", "--listen", addr); err != nil {
+		return nil, err
+	}
+	return s, waitFor(func() bool { return dials(addr) })
+}
+
+// Start runs a program of the project.
+func (s *Set) Start(name string, args ...string) (*Process, error) {
+	p := &Process{Cmd: exec.CommandContext(context.Background(), filepath.Join(s.Bin, name), args...)}
+	p.Cmd.Stdout, p.Cmd.Stderr = p, p
+	if err := p.Cmd.Start(); err != nil {
+		return nil, errors.Wrap(err, name)
+	}
+	s.processes = append(s.processes, p)
+	return p, nil
+}
+
+// Close ends all processes.
+func (s *Set) Close() {
+	for _, p := range s.processes {
+		p.Kill()
+	}
+}
+
+// Daemon starts a daemon with an upstream and waits until it is ready.
+func (s *Set) Daemon(spec DaemonSpec) (*Daemon, error) {
+	d := &Daemon{}
+	for _, a := range []*string{&d.Entry, &d.Admin, &d.Peer, &d.Upstream} {
+		addr, err := Address()
+		if err != nil {
+			return nil, err
+		}
+		*a = addr
+	}
+	if _, err := s.Start("stand-upstream", "--listen", d.Upstream, "--slots", fmt.Sprint(spec.Slots),
+		"--service-ms", fmt.Sprint(spec.ServiceMs)); err != nil {
+		return nil, err
+	}
+	file := filepath.Join(s.Dir, strings.ReplaceAll(d.Peer, ":", "-")+".toml")
+	text := fmt.Sprintf("[node]\nfleet = %q\nservice = %q\ncentre = \"c1\"\nslots = %d\nconnections = %d\n"+
+		"[listen]\nentry = %q\npeer = %q\nadmin = %q\nupstream = %q\n[log]\nurl = %q\n%s\n",
+		Fleet, spec.Service, spec.Slots, 2*spec.Slots, d.Entry, d.Peer, d.Admin, d.Upstream, s.Log, spec.Extra)
+	const mode = 0o600
+	if err := os.WriteFile(file, []byte(text), mode); err != nil {
+		return nil, err
+	}
+	p, err := s.Start("cranberrytack", "daemon", "--config", file)
+	if err != nil {
+		return nil, err
+	}
+	d.Process = p
+	return d, waitFor(func() bool { return dials(d.Upstream) && get("http://"+d.Admin+"/readyz") })
+}
+
+// WaitRouted waits until the daemon's entry answers a call to the service.
+func (d *Daemon) WaitRouted(service string) error {
+	return waitFor(func() bool {
+		r, err := http.NewRequest(http.MethodGet, "http://"+d.Entry+"/", nil)
+		if err != nil {
+			return false
+		}
+		r.Host = service
+		return ok(http.DefaultClient.Do(r))
+	})
+}
+
+func get(url string) bool {
+	return ok(http.Get(url))
+}
+
+func ok(resp *http.Response, err error) bool {
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func dials(addr string) bool {
+	c, err := net.Dial("tcp", addr)
+	if err == nil {
+		_ = c.Close()
+	}
+	return err == nil
+}
+
+func waitFor(cond func() bool) error {
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(readyPoll) {
+		if cond() {
+			return nil
+		}
+	}
+	return ErrNotReady
+}
--- a/internal/wire/link/server_test.go
+++ b/internal/wire/link/server_test.go
@@ -175,9 +175,12 @@
 		}
 		return last
 	}
-	open(40)
+	// The pool reconnects at once, so the session is that of the first streams.
+	first := open(40).Session()
 	g.Expect(echo(a, addr)).To(Succeed())
-	g.Eventually(open(20).Session().Closed, "2s").Should(BeTrue())
+	g.Expect(first.Closed()).To(BeFalse())
+	open(20)
+	g.Eventually(first.Closed, "2s").Should(BeTrue())
 	g.Expect(echo(b, addr)).To(Succeed())
 	a.Close()
 	g.Eventually(func() error { return echo(pool(t, "f"), addr) }, "2s").Should(Succeed())
