--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -25,7 +25,8 @@
 	if err != nil {
 		return err
 	}
-	log := logs.New(os.Stdout, cfg.Output.ZerologLevel())
+	log, out := logs.Open(os.Stdout, cfg.Output.ZerologLevel())
+	defer func() { _ = out.Close() }()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	d, err := daemon.New(cfg, log)
--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -2,40 +2,36 @@
 package logs
 
 import (
-	"fmt"
 	"io"
-	"strconv"
-	"strings"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 )
 
 // New returns a logger that writes key=value lines to w. The message of an
-// event is its name, in snake case.
+// event is its name, in snake case. Each line is written before the call that
+// logged it returns.
 func New(w io.Writer, level zerolog.Level) zerolog.Logger {
-	zerolog.TimeFieldFormat = time.RFC3339Nano
-	cw := zerolog.ConsoleWriter{
-		Out:              w,
-		NoColor:          true,
-		TimeFormat:       time.RFC3339Nano,
-		FormatTimestamp:  func(i any) string { return fmt.Sprintf("time=%v", i) },
-		FormatLevel:      func(i any) string { return fmt.Sprintf("level=%v", i) },
-		FormatMessage:    func(i any) string { return fmt.Sprintf("event=%v", i) },
-		FormatFieldName:  func(i any) string { return fmt.Sprintf("%v=", i) },
-		FormatFieldValue: formatValue,
-		FormatErrFieldName: func(i any) string {
-			return fmt.Sprintf("%v=", i)
-		},
-		FormatErrFieldValue: formatValue,
-	}
-	return zerolog.New(cw).Level(level).With().Timestamp().Logger()
+	return logger(&direct{out: w}, level)
+}
+
+// Open returns a logger that converts and writes lines in the background.
+// Closing the writer writes what is pending; lines logged later are written at
+// once.
+func Open(w io.Writer, level zerolog.Level) (zerolog.Logger, io.Closer) {
+	b := newBackground(w)
+	return logger(b, level), b
 }
 
-func formatValue(i any) string {
-	s := strings.Trim(fmt.Sprint(i), "\"")
-	if s == "" || strings.ContainsAny(s, " =\"\n") {
-		return strconv.Quote(s)
-	}
-	return s
+// setNames changes the library's global names once, as loggers may be made
+// while others are in use.
+var setNames = sync.OnceFunc(func() {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	zerolog.MessageFieldName = "event"
+})
+
+func logger(w io.Writer, level zerolog.Level) zerolog.Logger {
+	setNames()
+	return zerolog.New(w).Level(level).With().Timestamp().Logger()
 }
--- /dev/null
+++ b/internal/base/logs/logs_test.go
@@ -0,0 +1,94 @@
+package logs_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/logs"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// Guards against lines that a reader of key=value pairs can't take apart.
+func TestLines(t *testing.T) {
+	tests := map[string]struct {
+		log  func(*zerolog.Event)
+		want string
+	}{
+		"plain":     {func(e *zerolog.Event) { e.Str("a", "b").Int("n", 3).Bool("ok", true) }, "event=x a=b n=3 ok=true"},
+		"quoted":    {func(e *zerolog.Event) { e.Str("a", "b c").Str("e", "").Str("q", `say "hi"`) }, `event=x a="b c" e="" q="say \"hi\""`},
+		"line feed": {func(e *zerolog.Event) { e.Str("a", "b\nlevel=error") }, `event=x a="b\nlevel=error"`},
+		"unicode":   {func(e *zerolog.Event) { e.Str("a", "ș") }, `event=x a="ș"`},
+		"braces":    {func(e *zerolog.Event) { e.Str("a", `},{"b":1`) }, `event=x a="},{\"b\":1"`},
+		"list":      {func(e *zerolog.Event) { e.Strs("a", []string{"b", "c"}) }, `event=x a="[\"b\",\"c\"]"`},
+		"error":     {func(e *zerolog.Event) { e.Err(errors.New("dial failed")) }, `event=x error="dial failed"`},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var out bytes.Buffer
+			l := logs.New(&out, zerolog.InfoLevel)
+			e := l.Info()
+			tt.log(e)
+			e.Msg("x")
+			g.Expect(out.String()).To(MatchRegexp(`^time=\S+ level=info `))
+			g.Expect(strings.SplitN(out.String(), " ", 3)[2]).To(Equal(tt.want + "\n"))
+		})
+	}
+}
+
+// Guards against lines lost or reordered at exit, and an error line that is
+// still pending when the process ends.
+func TestBackgroundLosesNothing(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	l, c := logs.Open(&out, zerolog.InfoLevel)
+	const writers, lines = 8, 2000
+	var wg sync.WaitGroup
+	for w := range writers {
+		wg.Go(func() {
+			for i := range lines {
+				l.Info().Int("writer", w).Int("line", i).Msg("x")
+			}
+		})
+	}
+	wg.Wait()
+	l.Error().Msg("last_error")
+	g.Expect(out.String()).To(ContainSubstring("event=last_error"))
+	l.Info().Msg("pending")
+	g.Expect(c.Close()).To(Succeed())
+	g.Expect(c.Close()).To(Succeed())
+	l.Info().Msg("after")
+	got := strings.Split(strings.TrimSpace(out.String()), "\n")
+	g.Expect(got).To(HaveLen(writers*lines + 3))
+	g.Expect(got[len(got)-2:]).To(HaveExactElements(ContainSubstring("event=pending"), ContainSubstring("event=after")))
+	next := make([]int, writers)
+	for _, line := range got {
+		if _, fields, ok := strings.Cut(line, "event=x "); ok {
+			var w, i int
+			_, err := fmt.Sscanf(fields, "writer=%d line=%d", &w, &i)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(i).To(Equal(next[w]))
+			next[w]++
+		}
+	}
+}
+
+func BenchmarkBackground(b *testing.B) {
+	l, c := logs.Open(&bytes.Buffer{}, zerolog.InfoLevel)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Info().Str("request", "00112233445566778899aabbccddeeff").Int("status", 200).Msg("call_routed")
+	}
+	_ = c.Close()
+}
