entry: let callers ask for more than the route's default timeout

TestPlannedStop failed first: an upload of 1.3 s with Cranberrytack-Timeout-Ms 30000 ended with 504, as the header could only shorten the default of 1,000 ms.

Adds tests with real processes: a guard stopped by SIGSTOP past the deadline, planned stops during an upload, the stop timeout, slow and malformed callers.

--- a/internal/bench/procs/procs.go
+++ b/internal/bench/procs/procs.go
@@ -34,6 +34,8 @@
 	Cmd    *exec.Cmd
 	mu     sync.Mutex
 	output bytes.Buffer
+	done   chan struct{}
+	err    error
 }
 
 // Write collects the output of the process.
@@ -53,7 +55,18 @@
 // Kill ends the process and waits for it.
 func (p *Process) Kill() {
 	_ = p.Cmd.Process.Kill()
-	_ = p.Cmd.Wait()
+	_ = p.Wait()
+}
+
+// Wait waits for the end of the process. The error is that of its exit code.
+func (p *Process) Wait() error {
+	<-p.done
+	return p.err
+}
+
+func (p *Process) run() {
+	defer close(p.done)
+	p.err = p.Cmd.Wait()
 }
 
 // Set is a platform log with the processes around it.
@@ -111,11 +124,12 @@
 
 // Start runs a program of the project.
 func (s *Set) Start(name string, args ...string) (*Process, error) {
-	p := &Process{Cmd: exec.CommandContext(context.Background(), filepath.Join(s.Bin, name), args...)}
+	p := &Process{Cmd: exec.CommandContext(context.Background(), filepath.Join(s.Bin, name), args...), done: make(chan struct{})}
 	p.Cmd.Stdout, p.Cmd.Stderr = p, p
 	if err := p.Cmd.Start(); err != nil {
 		return nil, errors.Wrap(err, name)
 	}
+	go p.run()
 	s.processes = append(s.processes, p)
 	return p, nil
 }
--- /dev/null
+++ b/internal/bench/procs/procs_test.go
@@ -0,0 +1,204 @@
+package procs_test
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/bench/procs"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
+	"gitlab.com/cranberrytack/cranberrytack/internal/stand/server"
+)
+
+// bench is an entry's daemon and a guard's daemon as processes.
+type bench struct {
+	*WithT
+	set          *procs.Set
+	entry, guard *procs.Daemon
+}
+
+func start(t *testing.T, extra string, serviceMs float64) *bench {
+	b := &bench{WithT: NewWithT(t)}
+	bin := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", bin+"/", "../../..", "../../../cmd/stand-log", "../../../cmd/stand-upstream").CombinedOutput()
+	b.Expect(err).NotTo(HaveOccurred(), string(out))
+	b.set, err = procs.NewSet(bin, t.TempDir())
+	b.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(b.set.Close)
+	b.entry, err = b.set.Daemon(procs.DaemonSpec{Service: "caller", Slots: 8, Extra: extra})
+	b.Expect(err).NotTo(HaveOccurred())
+	b.guard, err = b.set.Daemon(procs.DaemonSpec{Service: "svc", Slots: 8, ServiceMs: serviceMs, Extra: extra})
+	b.Expect(err).NotTo(HaveOccurred())
+	b.Expect(b.entry.WaitRouted("svc")).To(Succeed())
+	return b
+}
+
+func (b *bench) post(body io.Reader, headers ...string) (*http.Response, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+b.entry.Entry+"/book", body)
+	b.Expect(err).NotTo(HaveOccurred())
+	r.Host = "svc"
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	t := &http.Transport{}
+	defer t.CloseIdleConnections()
+	resp, err := t.RoundTrip(r)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	return resp, err
+}
+
+// bookings returns the requests that the upstream ran.
+func (b *bench) bookings() []server.Run {
+	resp, err := http.Get("http://" + b.guard.Upstream + "/runs")
+	b.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	var all, out []server.Run
+	b.Expect(json.NewDecoder(resp.Body).Decode(&all)).To(Succeed())
+	for _, r := range all {
+		if r.Path == "/book" {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (b *bench) stop(d *procs.Daemon) chan error {
+	b.Expect(d.Cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	done := make(chan error, 1)
+	go func() { done <- d.Wait() }()
+	return done
+}
+
+// Guards against a booking that a guard's process runs after it was stopped
+// past the deadline and resumed.
+func TestGuardProcessPaused(t *testing.T) {
+	b := start(t, "", 1)
+	b.Expect(b.guard.Cmd.Process.Signal(syscall.SIGSTOP)).To(Succeed())
+	resp, err := b.post(strings.NewReader("x"), header.TimeoutMs, "200")
+	b.Expect(err).NotTo(HaveOccurred())
+	b.Expect(resp.StatusCode).To(Equal(http.StatusGatewayTimeout))
+	b.Expect(resp.Header.Get(header.Outcome)).To(Equal("unknown"))
+	b.Expect(b.guard.Cmd.Process.Signal(syscall.SIGCONT)).To(Succeed())
+	time.Sleep(300 * time.Millisecond)
+	b.Expect(b.bookings()).To(BeEmpty())
+	b.Expect(b.entry.WaitRouted("svc")).To(Succeed())
+}
+
+// slowly yields data in small pieces.
+type slowly struct {
+	left int
+	wait time.Duration
+}
+
+func (s *slowly) Read(p []byte) (int, error) {
+	if s.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(s.wait)
+	n := min(len(p), s.left, 32<<10)
+	s.left -= n
+	return n, nil
+}
+
+// Guards against uploads cut short by a planned stop of either daemon, and a
+// stop timeout that interrupts without saying so.
+func TestPlannedStop(t *testing.T) {
+	const size, pieces = 1 << 20, 32
+	tests := map[string]struct {
+		stop       string
+		wait       time.Duration
+		guard, cut bool
+	}{
+		"entry's daemon":               {"notice_ms = 100\ntimeout_ms = 20000", 40 * time.Millisecond, false, false},
+		"guard's daemon":               {"notice_ms = 100\ntimeout_ms = 20000", 40 * time.Millisecond, true, false},
+		"timeout of the entry's stop":  {"notice_ms = 0\ntimeout_ms = 1000", 200 * time.Millisecond, false, true},
+		"timeout of the guard's stop ": {"notice_ms = 0\ntimeout_ms = 1000", 200 * time.Millisecond, true, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := start(t, "[stop]\n"+tt.stop, 1)
+			type reply struct {
+				resp *http.Response
+				err  error
+			}
+			done := make(chan reply, 1)
+			go func() {
+				resp, err := b.post(&slowly{left: size, wait: tt.wait}, header.TimeoutMs, "30000")
+				done <- reply{resp, err}
+			}()
+			b.Eventually(func() int { return len(b.bookings()) }, "5s").Should(Equal(1))
+			d := b.entry
+			if tt.guard {
+				d = b.guard
+			}
+			ended := b.stop(d)
+			r := <-done
+			if tt.cut {
+				b.Expect(r.err != nil || r.resp.StatusCode == http.StatusBadGateway).To(BeTrue())
+				b.Eventually(ended, "5s").Should(Receive(HaveOccurred()))
+				b.Expect(d.Output()).To(ContainSubstring("invariant=graceful_stop"))
+				return
+			}
+			b.Expect(r.err).NotTo(HaveOccurred())
+			b.Expect(r.resp.StatusCode).To(Equal(http.StatusOK))
+			b.Eventually(ended, "10s").Should(Receive(Not(HaveOccurred())))
+			b.Expect(d.Output()).To(ContainSubstring("event=stop_done"), "the last line is not lost")
+			b.Expect(b.bookings()).To(HaveLen(1))
+			b.Expect(b.bookings()[0].Bytes).To(BeNumerically("==", size))
+		})
+	}
+}
+
+// Guards against callers that hold connections with slow headers, or send
+// headers without bound, and against malformed requests that are forwarded.
+func TestCallerLimits(t *testing.T) {
+	b := start(t, "[limits]\nheader_timeout_ms = 300\nheader_bytes = 4096", 1)
+	tests := map[string]struct {
+		request string
+		want    string
+	}{
+		"slow header":     {"GET / HTTP/1.1\r\nHost: svc\r\n", ""},
+		"oversize header": {"GET / HTTP/1.1\r\nHost: svc\r\nX: " + strings.Repeat("x", 64<<10) + "\r\n\r\n", "HTTP/1.1 431"},
+		"malformed":       {"GET\r\n\r\n", "HTTP/1.1 400"},
+		"two lengths":     {"POST /book HTTP/1.1\r\nHost: svc\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "HTTP/1.1 400"},
+		"upgrade":         {"GET / HTTP/1.1\r\nHost: svc\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", "HTTP/1.1 400"},
+		"bad timeout":     {"GET / HTTP/1.1\r\nHost: svc\r\nCranberrytack-Timeout-Ms: soon\r\n\r\n", "HTTP/1.1 400"},
+		"too deep":        {"GET / HTTP/1.1\r\nHost: svc\r\nCranberrytack-Depth: 21\r\n\r\n", "HTTP/1.1 400"},
+		"no such service": {"GET / HTTP/1.1\r\nHost: other\r\n\r\n", "HTTP/1.1 404"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(talk(g, b.entry.Entry, tt.request)).To(HavePrefix(tt.want))
+		})
+	}
+	b.Expect(b.bookings()).To(BeEmpty())
+	b.Expect(b.entry.WaitRouted("svc")).To(Succeed())
+}
+
+// talk sends raw bytes and returns what comes back until 2 s have passed or
+// the server closes; a connection left open fails the test.
+func talk(g *WithT, addr, request string) string {
+	c, err := net.Dial("tcp", addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, request)
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	buf := make([]byte, 16)
+	n, err := io.ReadFull(c, buf)
+	g.Expect(os.IsTimeout(err)).To(BeFalse())
+	return string(buf[:n])
+}
--- /dev/null
+++ b/internal/path/entry/bench_test.go
@@ -0,0 +1,30 @@
+package entry_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/bench/mesh"
+)
+
+// BenchmarkCall runs lookups through entry and guard in one process.
+func BenchmarkCall(b *testing.B) {
+	m := mesh.New(b)
+	m.Add(mesh.Spec{Handler: func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }})
+	t := &http.Transport{}
+	b.Cleanup(t.CloseIdleConnections)
+	r := m.Request("GET", "/", nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		resp, err := t.RoundTrip(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if len(m.Decision().Request.Service) == 0 {
+			b.Fatal("no service")
+		}
+	}
+}
--- a/internal/path/entry/parse.go
+++ b/internal/path/entry/parse.go
@@ -31,7 +31,7 @@
 		if err != nil || ms <= 0 || ms > float64(maxTimeout) {
 			return r, call.ReasonBadRequest
 		}
-		timeout = min(timeout, clock.Milli(ms))
+		timeout = clock.Milli(ms)
 	}
 	r.Deadline = now + timeout
 	return r, readChain(hr, r)
