entry: connect the decision core and close after unread uploads

The entry tells the core the class of each result and every attempt's end, retries a repeatable call that was answered with an error, asks before a hedge is sent and probes stale targets.

--- a/Makefile
+++ b/Makefile
@@ -7,15 +7,11 @@
 SEED ?= 1
 MINUTES ?= 5
 
-<<<<<<< HEAD
 # Tests listed in KNOWN-RED.txt as "test: TestName" are printed and not run.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 
 .PHONY: all build tools generate fmt lint test demo soak
 .PHONY: measure-path measure-policy measure-config measure-moves measure-scale
-=======
-.PHONY: all build tools generate fmt lint test demo measure-path
->>>>>>> path
 
 all: build
 
@@ -45,7 +41,6 @@
 test:
 	@if [ -n "$(KNOWN_RED)" ]; then echo "known red, not run: $(KNOWN_RED)"; cat KNOWN-RED.txt; fi
 	$(GO) vet $(PKG)
-<<<<<<< HEAD
 	$(GO) test -race -count=1 -timeout 8m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(PKG)
 
 # The association's deployment on loopback, with every promise checked.
@@ -71,9 +66,7 @@
 # Slopes of the control plane against the size of the fleet.
 measure-scale: build
 	$(BIN)/measure-scale
-=======
-	$(GO) test -race -count=1 -timeout 8m $(PKG)
 
+# Added latency, CPU and allocations of the whole path.
 measure-path: build
 	$(BIN)/measure-path
->>>>>>> path
--- a/internal/path/entry/attempt.go
+++ b/internal/path/entry/attempt.go
@@ -110,17 +110,30 @@
 				return a.failed(call.Unknown, call.ReasonLinkBroken)
 			}
 			a.head = b.ReplyHead
-			return call.Result{
-				Outcome: call.Answered,
-				Failed:  a.head.GetStatus() >= http.StatusInternalServerError,
-				Latency: a.tries.entry.clock.Now() - a.began,
-			}
+			return a.answered()
 		default:
 			return a.failed(call.Unknown, call.ReasonLinkBroken)
 		}
 	}
 }
 
+// answered describes an attempt whose response has begun. A refusal of a lower
+// level that has used up its retries must not be retried here.
+func (a *attempt) answered() call.Result {
+	res := call.Result{
+		Outcome: call.Answered,
+		Class:   a.tries.request.Class,
+		Failed:  a.head.GetStatus() >= http.StatusInternalServerError,
+		Latency: a.tries.entry.clock.Now() - a.began,
+	}
+	for _, h := range a.head.GetHeaders() {
+		if h.GetName() == header.Retried {
+			res.Reason = call.ReasonRetriedBelow
+		}
+	}
+	return res
+}
+
 // loop sends the request body while the main goroutine waits for the
 // response. When the caller's body breaks off, so does the call.
 func (a *attempt) loop() {
@@ -149,6 +162,7 @@
 func (a *attempt) failed(out call.Outcome, reason call.Reason) call.Result {
 	return call.Result{
 		Outcome: out,
+		Class:   a.tries.request.Class,
 		Reason:  reason,
 		Failed:  out == call.Unknown || reason == call.ReasonLinkFailed || reason == call.ReasonDialFailed,
 		Latency: a.tries.entry.clock.Now() - a.began,
--- a/internal/path/entry/body.go
+++ b/internal/path/entry/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
@@ -20,6 +21,8 @@
 	length   int64
 	// sent is set once a part that can't be sent again has left.
 	sent bool
+	// done is set when the caller's body was read to its end.
+	done atomic.Bool
 	// trailers are the announced names; source has their values once the body
 	// was read.
 	trailers []string
@@ -51,6 +54,12 @@
 	return b, nil
 }
 
+// unread reports whether a part of the body may still be in the connection. The
+// server can't read another request from such a connection.
+func (b *body) unread() bool {
+	return b != nil && !b.complete && !b.done.Load()
+}
+
 // stream sends the part of the body that was not in CallStart.
 func (b *body) stream(st *link.Stream) error {
 	src := io.MultiReader(bytes.NewReader(b.head), b.rest)
@@ -58,6 +67,9 @@
 	for {
 		n, err := src.Read(buf)
 		last := err == io.EOF
+		if last {
+			b.done.Store(true)
+		}
 		if err != nil && !last {
 			return err
 		}
--- a/internal/path/entry/entry.go
+++ b/internal/path/entry/entry.go
@@ -13,6 +13,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/policy"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	core "gitlab.com/cranberrytack/cranberrytack/internal/core/probe"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/retry"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
@@ -56,20 +57,21 @@
 
 // Entry serves callers. It is safe for concurrent use.
 type Entry struct {
-	self     call.Target
-	clock    clock.Clock
-	log      zerolog.Logger
-	pool     *link.Pool
-	roster   Roster
-	rules    Rules
-	seed     uint64
-	retrier  func() Retrier
-	prober   Prober
-	record   func(Decision)
-	mu       sync.RWMutex
-	services map[string]*service
-	idMu     sync.Mutex
-	idRand   *rand.Rand
+	self      call.Target
+	clock     clock.Clock
+	log       zerolog.Logger
+	pool      *link.Pool
+	roster    Roster
+	rules     Rules
+	seed      uint64
+	retrier   func() Retrier
+	probes    *probes
+	probeRate float64
+	record    func(Decision)
+	mu        sync.RWMutex
+	services  map[string]*service
+	idMu      sync.Mutex
+	idRand    *rand.Rand
 }
 
 // Option changes an Entry.
@@ -98,20 +100,22 @@
 // New returns an entry of the daemon self.
 func New(self call.Target, clk clock.Clock, pool *link.Pool, roster Roster, rules Rules, opts ...Option) *Entry {
 	e := &Entry{
-		self:     self,
-		clock:    clk,
-		log:      zerolog.Nop(),
-		pool:     pool,
-		roster:   roster,
-		rules:    rules,
-		seed:     rand.Uint64(),
-		retrier:  func() Retrier { return retry.New() },
-		record:   func(Decision) {},
-		services: make(map[string]*service),
+		self:      self,
+		clock:     clk,
+		log:       zerolog.Nop(),
+		pool:      pool,
+		roster:    roster,
+		rules:     rules,
+		seed:      rand.Uint64(),
+		retrier:   func() Retrier { return retry.New() },
+		probeRate: core.Rate,
+		record:    func(Decision) {},
+		services:  make(map[string]*service),
 	}
 	for _, o := range opts {
 		o(e)
 	}
+	e.probes = &probes{tokens: core.NewRequester(clk.Now(), e.probeRate)}
 	e.idRand = rand.New(rand.NewPCG(e.seed, self.Incarnation))
 	return e
 }
--- a/internal/path/entry/hedge.go
+++ b/internal/path/entry/hedge.go
@@ -73,7 +73,7 @@
 func (h *hedge) start() (context.Context, *attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.closed {
+	if h.closed || !h.tries.service.mayHedge() {
 		return nil, nil
 	}
 	t := h.tries
--- a/internal/path/entry/hedge_test.go
+++ b/internal/path/entry/hedge_test.go
@@ -163,19 +163,13 @@
 	}
 }
 
-type always struct{ target string }
-
-func (a *always) Next(clock.Milli, string) (string, bool) { return a.target, true }
-
 // Guards against probes beyond the budget that the guard holds for its
 // upstream, whoever asks, and against probes that reach the upstream.
 func TestProbes(t *testing.T) {
 	g := NewWithT(t)
-	p := &always{}
-	m := mesh.New(t, entry.WithProber(p))
+	m := mesh.New(t, entry.WithProbeRate(100))
 	u := newUpstream(false)
-	n := m.Add(mesh.Spec{Handler: u.serve, Guard: []guard.Option{guard.WithProbeBudget(1, 3)}})
-	p.target = n.Target.ID
+	n := m.Add(mesh.Spec{Handler: u.serve, Guard: []guard.Option{guard.WithProbeBudget(3)}})
 	g.Expect(m.Do(m.Request("GET", "/", nil)).Status).To(Equal(200))
 	answered := 0
 	for range 20 {
--- a/internal/path/entry/parse.go
+++ b/internal/path/entry/parse.go
@@ -21,7 +21,7 @@
 	if r.Service == "" || hr.Method == http.MethodConnect || hr.Header.Get("Upgrade") != "" {
 		return r, call.ReasonBadRequest
 	}
-	route := e.rules.Config().Route(r.Service, hr.Method, hr.URL.Path)
+	route := e.rules.Config().RouteAt(r.Service, hr.Method, hr.URL.Path, now)
 	r.Route = route.Name
 	r.Class = route.Class
 	r.Repeatable = *route.Repeatable
--- a/internal/path/entry/probe.go
+++ b/internal/path/entry/probe.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 
 	"google.golang.org/protobuf/proto"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	core "gitlab.com/cranberrytack/cranberrytack/internal/core/probe"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
@@ -13,16 +15,21 @@
 // probeTimeout bounds the wait for a guard's view, which is worthless later.
 const probeTimeout = 100 * clock.Millisecond
 
-// Prober holds the probe budget of the entry. It must be safe for concurrent
-// use.
-type Prober interface {
-	// Next is asked once per call and returns the target to probe now, if any.
-	Next(now clock.Milli, service string) (target string, ok bool)
+// probes holds the tokens for probes, shared by all services.
+type probes struct {
+	mu     sync.Mutex
+	tokens *core.Requester
 }
 
-// WithProber sets the source of probes; by default there are none.
-func WithProber(p Prober) Option {
-	return func(e *Entry) { e.prober = p }
+// WithProbeRate sets how many probes a second the entry may send; 0 is none.
+func WithProbeRate(rate float64) Option {
+	return func(e *Entry) { e.probeRate = rate }
+}
+
+func (p *probes) take(now clock.Milli) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tokens.Take(now)
 }
 
 // probe is one request for a guard's view.
@@ -34,10 +41,8 @@
 
 // probe asks a guard for its view without delaying the call that caused it.
 func (e *Entry) probe(now clock.Milli, s *service) {
-	if e.prober == nil {
-		return
-	}
-	if target, ok := e.prober.Next(now, s.name); ok {
+	target, ok := s.stale(now)
+	if ok && e.probes.take(now) {
 		go (&probe{entry: e, service: s, target: target}).run()
 	}
 }
--- a/internal/path/entry/service.go
+++ b/internal/path/entry/service.go
@@ -16,6 +16,9 @@
 	First(now clock.Milli)
 	Decide(now clock.Milli, a retry.Attempt) retry.Verdict
 	HedgeAfter(now clock.Milli, a retry.Attempt) (clock.Milli, bool)
+	// MayHedge is asked when a hedge is due, as other calls may have spent
+	// the budget since it was planned.
+	MayHedge() bool
 	Hedged(now clock.Milli)
 }
 
@@ -96,6 +99,13 @@
 	return s.retry.HedgeAfter(now, a)
 }
 
+// mayHedge reports whether the budget still allows a hedge that is due.
+func (s *service) mayHedge() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retry.MayHedge()
+}
+
 // hedged counts a hedge.
 func (s *service) hedged(now clock.Milli) {
 	s.mu.Lock()
@@ -103,6 +113,13 @@
 	s.retry.Hedged(now)
 }
 
+// stale returns the target whose view most needs to be renewed.
+func (s *service) stale(now clock.Milli) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.Probe(now)
+}
+
 // observe takes in a view from a probe.
 func (s *service) observe(now clock.Milli, v call.View) {
 	s.mu.Lock()
--- a/internal/path/entry/tries.go
+++ b/internal/path/entry/tries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
@@ -50,19 +51,16 @@
 		return
 	}
 	for {
-		again, res := t.attempt(ctx)
-		if !again {
-			return
-		}
-		if stop := t.settle(ctx, res); stop {
+		res, v, over := t.attempt(ctx)
+		if over || t.settle(ctx, res, v) {
 			return
 		}
 	}
 }
 
-// attempt runs one attempt and perhaps its hedge. It reports false when the
-// call is over.
-func (t *tries) attempt(ctx context.Context) (bool, call.Result) {
+// attempt runs one attempt and perhaps its hedge. It returns how it ended and
+// whether the call may be tried again, or reports that the call is over.
+func (t *tries) attempt(ctx context.Context) (res call.Result, v retry.Verdict, over bool) {
 	now := t.entry.clock.Now()
 	q := t.query(now, t.tried)
 	target, reason, ok := t.service.choose(now, q, t.entry.roster, t.attempts == 0)
@@ -71,28 +69,44 @@
 	}
 	if !ok {
 		t.endUnchosen(q, reason)
-		return false, call.Result{}
+		return res, v, true
 	}
 	t.attempts++
 	t.tried = append(t.tried, target.ID)
 	a := &attempt{tries: t, target: target, choice: reason, began: now}
 	h, ctx := t.hedged(ctx, a)
-	res := a.open(ctx)
+	res = a.open(ctx)
 	if h != nil {
 		defer h.release()
 		a, res = h.settle(res)
 	}
 	t.target, t.choice = &a.target, a.choice
-	if a.head != nil {
+	now = t.entry.clock.Now()
+	v = t.service.decide(now, retry.Attempt{Request: t.request, Result: res, Number: t.attempts, Started: t.began})
+	if a.head != nil && !(v.Retry && t.another(now)) {
 		a.reply(res)
-		return false, res
+		return res, v, true
 	}
-	if !a.hedge {
-		t.service.done(t.entry.clock.Now(), a.target.ID, res)
+	if !a.hedge || a.head != nil {
+		t.service.done(now, a.target.ID, res)
 		a.close()
 	}
 	t.last = res
-	return true, res
+	return res, v, false
+}
+
+// another reports whether there is a target that was not tried yet. Only then
+// is a response that reports an error given up for another attempt.
+func (t *tries) another(now clock.Milli) bool {
+	if t.body.sent || now >= t.request.Deadline {
+		return false
+	}
+	for _, c := range t.entry.roster.Targets(t.request.Service) {
+		if !c.Leaving && !slices.Contains(t.tried, c.ID) {
+			return true
+		}
+	}
+	return false
 }
 
 func (t *tries) query(now clock.Milli, tried []string) pick.Query {
@@ -119,14 +133,13 @@
 
 // settle decides what follows an attempt without a response. It reports true
 // when the call is over.
-func (t *tries) settle(ctx context.Context, res call.Result) bool {
-	if res.Outcome == call.Unknown {
+func (t *tries) settle(ctx context.Context, res call.Result, v retry.Verdict) bool {
+	// A response that reported an error proves that the request was run.
+	if res.Outcome != call.NotRun {
 		t.unknown = true
 	}
-	now := t.entry.clock.Now()
-	v := t.service.decide(now, retry.Attempt{Request: t.request, Result: res, Number: t.attempts, Started: t.began})
 	if !v.Retry || t.body.sent || !t.pause(ctx, v.Delay) {
-		t.spent = v.Reason == call.ReasonRetryBudget
+		t.spent = v.Reason == call.ReasonRetryBudget || v.Final && !v.Retry
 		reason := res.Reason
 		if reason == call.ReasonNone {
 			reason = v.Reason
@@ -173,9 +186,16 @@
 	case reason == call.ReasonBadRequest:
 		status = http.StatusBadRequest
 	}
+	t.closeIfUnread()
 	t.entry.finish(t.out, t.decision(out, reason, status))
 }
 
+func (t *tries) closeIfUnread() {
+	if t.body.unread() {
+		t.out.Header().Set("Connection", "close")
+	}
+}
+
 func (t *tries) decision(out call.Outcome, reason call.Reason, status int) Decision {
 	now := t.entry.clock.Now()
 	return Decision{
@@ -198,5 +218,6 @@
 	h.Set(header.Outcome, call.Answered.String())
 	h.Set(header.Target, t.target.ID)
 	h.Set(header.Version, t.target.Version)
+	t.closeIfUnread()
 	t.out.WriteHeader(status)
 }
--- /dev/null
+++ b/internal/path/entry/upload_test.go
@@ -0,0 +1,62 @@
+package entry_test
+
+import (
+	"bytes"
+	"io"
+	"log"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/bench/mesh"
+)
+
+// logBuffer keeps what a server logs.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// Guards against a response that is answered before the upload was read: the
+// server must not read the next request while the body is still being read.
+func TestUploadAnsweredEarly(t *testing.T) {
+	g := NewWithT(t)
+	m := mesh.New(t)
+	var logged logBuffer
+	m.HTTP.ErrorLog = log.New(&logged, "", 0)
+	m.Add(mesh.Spec{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "refused early", http.StatusInternalServerError)
+	})})
+	upload := strings.Repeat("x", 300<<10)
+	for range 300 {
+		req, err := http.NewRequest(http.MethodPost, m.URL+"/upload", strings.NewReader(upload))
+		g.Expect(err).NotTo(HaveOccurred())
+		req.Host = mesh.Service
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(body)).To(Equal("refused early\n"))
+	}
+	time.Sleep(50 * time.Millisecond)
+	g.Expect(logged.String()).NotTo(ContainSubstring("panic"))
+}
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -87,6 +87,7 @@
 func (x *exchange) fail(ctx context.Context, err error) bool {
 	g := x.stream.guard
 	x.result.Failed = ctx.Err() == nil
+	x.result.Cancelled = !x.result.Failed
 	x.result.Latency = g.clock.Now() - x.handed
 	out, reason := call.Unknown, call.ReasonUpstreamFailed
 	if !x.trace.reached() {
@@ -103,7 +104,7 @@
 
 // bodyDone reports whether no frame of the request body is outstanding.
 func (x *exchange) bodyDone() bool {
-	return x.body == nil || x.body.done
+	return x.body == nil || x.body.done.Load()
 }
 
 // reply passes the response on. A response that the upstream breaks off ends
--- a/internal/path/guard/guard.go
+++ b/internal/path/guard/guard.go
@@ -7,12 +7,12 @@
 	"sync"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/time/rate"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/ledger"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/probe"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
@@ -41,9 +41,9 @@
 	gate     Gate
 	sample   func(Sample)
 	started  func(now clock.Milli, r *call.Request)
-	probes   *rate.Limiter
 
 	mu      sync.Mutex
+	probes  *probe.Upstream
 	admit   *admit.Admitter
 	ledger  *ledger.Ledger
 	waiting map[call.ID]chan admit.Action
@@ -93,7 +93,7 @@
 		gate:     func(clock.Milli, *call.Request) call.Reason { return call.ReasonNone },
 		sample:   func(Sample) {},
 		started:  func(clock.Milli, *call.Request) {},
-		probes:   rate.NewLimiter(defaultProbeRate, defaultProbeBurst),
+		probes:   probe.NewUpstream(probe.PerUpstream),
 		admit:    admit.New(self.Slots),
 		ledger:   ledger.New(),
 		waiting:  make(map[call.ID]chan admit.Action),
@@ -127,6 +127,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.leaving = true
+	g.admit.Leave()
 	if g.active == 0 {
 		g.closeIdle()
 	}
--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -148,7 +149,7 @@
 	ctx    context.Context
 	stream *stream
 	rest   []byte
-	done   bool
+	done   atomic.Bool
 	// trailer receives the values of the announced trailers.
 	trailer http.Header
 }
@@ -156,7 +157,7 @@
 // Read implements io.Reader.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	for len(b.rest) == 0 {
-		if b.done {
+		if b.done.Load() {
 			return 0, io.EOF
 		}
 		f := b.stream.next(b.ctx)
@@ -164,7 +165,7 @@
 			return 0, errBodyCut
 		}
 		b.rest = f.GetBodyChunk().GetData()
-		b.done = f.GetBodyChunk().GetLast()
+		b.done.Store(f.GetBodyChunk().GetLast())
 		for _, t := range f.GetBodyChunk().GetTrailers() {
 			if name := textproto.CanonicalMIMEHeaderKey(t.GetName()); b.trailer != nil {
 				if _, ok := b.trailer[name]; ok {
