--- a/internal/wire/link/session.go
+++ b/internal/wire/link/session.go
@@ -138,7 +138,7 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrClosed, err.Error())
 	}
-	mux, err := yamux.Client(conn, muxConfig())
+	mux, err := yamux.Client(&joinConn{Conn: conn}, muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(ErrHandshake, err.Error())
@@ -183,7 +183,7 @@
 func welcome(conn net.Conn, self Identity, clk clock.Clock) (*Session, error) {
 	timer := time.AfterFunc(handshakeTimeout.Duration(), func() { _ = conn.Close() })
 	defer timer.Stop()
-	mux, err := yamux.Server(conn, muxConfig())
+	mux, err := yamux.Server(&joinConn{Conn: conn}, muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(ErrHandshake, err.Error())
