tests: require that a malformed peer is cut off at once

With the size check of Receive removed, 'oversize frame' still passed, as the test's own yamux session closed the connection it watched. It now watches the stream, and malformed input must end it within 1 s instead of at the handshake limit.

--- a/internal/path/entry/body_test.go
+++ b/internal/path/entry/body_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/bench/mesh"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/guard"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 )
 
@@ -170,3 +171,18 @@
 	g.Expect(runs.Load()).To(BeNumerically(">=", answered))
 	g.Expect(answered).To(BeNumerically(">", 0))
 }
+
+// Guards against a refused upload that can't go to another target.
+func TestRefusedUploadGoesElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	for range 4 {
+		m := mesh.New(t)
+		u := newUpstream(false)
+		m.Add(mesh.Spec{Handler: http.NotFound, Guard: []guard.Option{guard.WithGate(refuseAll)}})
+		m.Add(mesh.Spec{Handler: u.serve})
+		upload := strings.Repeat("u", 1<<20)
+		r := m.Do(m.Request("POST", "/upload", strings.NewReader(upload)))
+		g.Expect(r.Status).To(Equal(200))
+		g.Expect(string(r.Body)).To(Equal("ran " + upload))
+	}
+}
--- a/internal/path/entry/failure_test.go
+++ b/internal/path/entry/failure_test.go
@@ -18,7 +18,6 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/bench/mesh"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
-	"gitlab.com/cranberrytack/cranberrytack/internal/path/guard"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
@@ -269,21 +268,6 @@
 	g.Expect(m.Decision().Attempts).To(BeNumerically(">=", 2))
 }
 
-// Guards against a refused upload that can't go to another target.
-func TestRefusedUploadGoesElsewhere(t *testing.T) {
-	g := NewWithT(t)
-	for range 4 {
-		m := mesh.New(t)
-		u := newUpstream(false)
-		m.Add(mesh.Spec{Handler: http.NotFound, Guard: []guard.Option{guard.WithGate(refuseAll)}})
-		m.Add(mesh.Spec{Handler: u.serve})
-		upload := strings.Repeat("u", 1<<20)
-		r := m.Do(m.Request("POST", "/upload", strings.NewReader(upload)))
-		g.Expect(r.Status).To(Equal(200))
-		g.Expect(string(r.Body)).To(Equal("ran " + upload))
-	}
-}
-
 // Guards against a response that reaches another caller when cancellations
 // race responses on reused streams, and against calls left at the guard.
 func TestCancelRacesResponse(t *testing.T) {
--- a/internal/wire/link/server_test.go
+++ b/internal/wire/link/server_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/yamux"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
 
@@ -74,24 +75,34 @@
 
 // Guards against a faulty peer that harms other links or uses up memory.
 func TestFaultyPeers(t *testing.T) {
-	raw := func(s string) func(*WithT, net.Conn) {
-		return func(_ *WithT, c net.Conn) { _, _ = c.Write([]byte(s)) }
+	// Each fault returns the connection or stream that the server must end.
+	type fault func(*WithT, net.Conn) net.Conn
+	raw := func(s string) fault {
+		return func(_ *WithT, c net.Conn) net.Conn { _, _ = c.Write([]byte(s)); return c }
 	}
-	first := func(b []byte) func(*WithT, net.Conn) {
-		return func(g *WithT, c net.Conn) { _, _ = dialMux(g, c).Write(b) }
+	first := func(b []byte) fault {
+		return func(g *WithT, c net.Conn) net.Conn {
+			st := dialMux(g, c)
+			_, _ = st.Write(b)
+			return st
+		}
 	}
-	tests := map[string]func(*WithT, net.Conn){
-		"http on the peer port":       raw("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
-		"zeros":                       raw(strings.Repeat("\x00", 1<<16)),
-		"oversize frame":              first(sized(link.MaxFrameBytes+1, "x")),
-		"largest length":              first(sized(1<<32-1, "x")),
-		"no protobuf":                 first(sized(4, "\xff\xff\xff\xff")),
-		"empty frame":                 first(sized(0, "")),
-		"frame cut short":             func(g *WithT, c net.Conn) { _, _ = dialMux(g, c).Write(sized(100, "x")); _ = c.Close() },
-		"half-open connection":        func(*WithT, net.Conn) {},
-		"session without a first one": func(g *WithT, c net.Conn) { dialMux(g, c) },
+	const atOnce, handshake = time.Second, 5 * time.Second
+	tests := map[string]struct {
+		fault fault
+		limit time.Duration
+	}{
+		"http on the peer port":       {raw("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), atOnce},
+		"zeros":                       {raw(strings.Repeat("\x00", 1<<16)), handshake},
+		"oversize frame":              {first(sized(link.MaxFrameBytes+1, "x")), atOnce},
+		"largest length":              {first(sized(1<<32-1, "x")), atOnce},
+		"no protobuf":                 {first(sized(4, "\xff\xff\xff\xff")), atOnce},
+		"empty frame":                 {first(sized(0, "")), atOnce},
+		"frame without its end":       {first(sized(100, "x")), handshake},
+		"half-open connection":        {raw(""), handshake},
+		"session without a first one": {first(nil), handshake},
 	}
-	for name, fault := range tests {
+	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
@@ -100,13 +111,11 @@
 			c, err := net.Dial("tcp", addr)
 			g.Expect(err).NotTo(HaveOccurred())
 			defer func() { _ = c.Close() }()
-			fault(g, c)
-			// The server gives the connection up after its handshake limit.
-			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
-			g.Eventually(func() error {
-				_, err := c.Read(make([]byte, 1<<10))
-				return err
-			}, "5s").Should(MatchError(Not(ContainSubstring("timeout"))))
+			watched := tt.fault(g, c)
+			_ = watched.SetReadDeadline(time.Now().Add(tt.limit))
+			_, err = io.Copy(io.Discard, watched)
+			var timeout net.Error
+			g.Expect(errors.As(err, &timeout) && timeout.Timeout()).To(BeFalse(), "the server ends it")
 			g.Expect(echo(p, addr)).To(Succeed())
 			g.Expect(p.Size()).To(Equal(1))
 		})
