--- a/internal/wire/link/session.go
+++ b/internal/wire/link/session.go
@@ -169,13 +169,14 @@
 	if err != nil {
 		return err
 	}
-	if trip := clk.Now() - sent; trip > maxHandshakeTrip {
+	now := clk.Now()
+	if trip := now - sent; trip > maxHandshakeTrip {
 		return errors.Wrapf(ErrHandshake, "peer answered after %.0f ms", float64(trip))
 	}
 	if hello.GetError() != "" {
 		return errors.Wrapf(ErrHandshake, "peer says %q", hello.GetError())
 	}
-	s.accept(hello, clk)
+	s.accept(hello, now)
 	return nil
 }
 
@@ -207,6 +208,9 @@
 	if err != nil {
 		return err
 	}
+	// Read before the reply: the dialer's limit on the round trip then covers
+	// a pause of this process.
+	now := clk.Now()
 	if refusal := refuse(hello, self); refusal != "" {
 		_ = st.Send(helloFrame(self, clk, refusal))
 		// Closing at once can discard the refusal before the peer has read it.
@@ -217,13 +221,13 @@
 	if err := st.Send(helloFrame(self, clk, "")); err != nil {
 		return errors.Wrap(ErrHandshake, err.Error())
 	}
-	s.accept(hello, clk)
+	s.accept(hello, now)
 	return nil
 }
 
-func (s *Session) accept(h *wire.Hello, clk clock.Clock) {
+func (s *Session) accept(h *wire.Hello, now clock.Milli) {
 	s.peer = Peer{Member: h.GetMember(), Incarnation: h.GetIncarnation()}
-	s.offset.Observe(clk.Now(), clock.Milli(h.GetClock()))
+	s.offset.Observe(now, clock.Milli(h.GetClock()))
 }
 
 func refuse(h *wire.Hello, self Identity) string {
