guard: read the end of a request body without a race

TestRequestBodies reported a data race once in 5 full runs: a response that starts before its chunked request has ended made the exchange read the body's state while the HTTP client was still reading the body.

--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -103,7 +103,7 @@
 
 // bodyDone reports whether no frame of the request body is outstanding.
 func (x *exchange) bodyDone() bool {
-	return x.body == nil || x.body.done
+	return x.body == nil || x.body.done.Load()
 }
 
 // reply passes the response on. A response that the upstream breaks off ends
--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -148,7 +149,9 @@
 	ctx    context.Context
 	stream *stream
 	rest   []byte
-	done   bool
+	// done is also read by the exchange while the client still reads the body,
+	// as a response may start before the end of its request.
+	done atomic.Bool
 	// trailer receives the values of the announced trailers.
 	trailer http.Header
 }
@@ -156,7 +159,7 @@
 // Read implements io.Reader.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	for len(b.rest) == 0 {
-		if b.done {
+		if b.done.Load() {
 			return 0, io.EOF
 		}
 		f := b.stream.next(b.ctx)
@@ -164,7 +167,6 @@
 			return 0, errBodyCut
 		}
 		b.rest = f.GetBodyChunk().GetData()
-		b.done = f.GetBodyChunk().GetLast()
 		for _, t := range f.GetBodyChunk().GetTrailers() {
 			if name := textproto.CanonicalMIMEHeaderKey(t.GetName()); b.trailer != nil {
 				if _, ok := b.trailer[name]; ok {
@@ -172,6 +174,7 @@
 				}
 			}
 		}
+		b.done.Store(f.GetBodyChunk().GetLast())
 	}
 	n := copy(p, b.rest)
 	b.rest = b.rest[n:]
