--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -149,7 +149,9 @@
 	ctx    context.Context
 	stream *stream
 	rest   []byte
-	done   atomic.Bool
+	// done is also read by the exchange while the client still reads the body,
+	// as a response may start before the end of its request.
+	done atomic.Bool
 	// trailer receives the values of the announced trailers.
 	trailer http.Header
 }
@@ -165,7 +167,6 @@
 			return 0, errBodyCut
 		}
 		b.rest = f.GetBodyChunk().GetData()
-		b.done.Store(f.GetBodyChunk().GetLast())
 		for _, t := range f.GetBodyChunk().GetTrailers() {
 			if name := textproto.CanonicalMIMEHeaderKey(t.GetName()); b.trailer != nil {
 				if _, ok := b.trailer[name]; ok {
@@ -173,6 +174,7 @@
 				}
 			}
 		}
+		b.done.Store(f.GetBodyChunk().GetLast())
 	}
 	n := copy(p, b.rest)
 	b.rest = b.rest[n:]
