--- a/cmd/demo/story.go
+++ b/cmd/demo/story.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	centreOutAt   = 5 * time.Second
-	versionsAt    = 8 * time.Second
-	centreBackAt  = 15 * time.Second
-	moveLasts     = 22 * time.Second
-	trafficLasts  = 34 * time.Second
+	centreOutAt   = 8 * time.Second
+	versionsAt    = 2 * time.Second
+	centreBackAt  = 18 * time.Second
+	moveLasts     = 38 * time.Second
+	trafficLasts  = 43 * time.Second
 	moveGrace     = 3 * time.Second
 	outCentre     = "sibiu"
 	goodVersion   = "2"
@@ -127,8 +127,8 @@
 		at  time.Duration
 		run func(context.Context) error
 	}{
-		{centreOutAt, s.takeOut},
 		{versionsAt, s.moveVersions},
+		{centreOutAt, s.takeOut},
 		{centreBackAt, s.takeBack},
 	}
 	for _, step := range steps {
@@ -168,7 +168,7 @@
 		{"version", "booking", goodVersion, "--id", goodMoveID, "--reason", "The new version confirms bookings faster than before."},
 		{"version", "media", badVersion, "--id", badMoveID, "--reason", "The new version stores wall scans in a smaller format."},
 	} {
-		m = append(m, "--finish-by", finish, "--unproven-cap", "0.2")
+		m = append(m, "--finish-by", finish, "--unproven-cap", "0.4")
 		out, err := s.world.Operate(ctx, s.world.Nodes[0], m...)
 		if err != nil {
 			return err
--- a/commands/registry.go
+++ b/commands/registry.go
@@ -20,6 +20,9 @@
 	ExitNotKnown = 3
 )
 
+// Version is the version of the program.
+const Version = "0.1.0"
+
 type registration struct {
 	name, short, long string
 	command           any
@@ -52,6 +55,10 @@
 
 // Run runs the subcommand that args name and returns the exit code.
 func Run(args []string) int {
+	if len(args) == 1 && args[0] == "--version" {
+		say("cranberrytack %s\n", Version)
+		return ExitOK
+	}
 	p := flags.NewNamedParser("cranberrytack", flags.HelpFlag|flags.PassDoubleDash)
 	sort.Slice(registered, func(i, j int) bool { return registered[i].name < registered[j].name })
 	for _, r := range registered {
--- a/internal/bench/world/traffic.go
+++ b/internal/bench/world/traffic.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	lookupsPerSecond  = 120
-	bookingsPerSecond = 25
+	lookupsPerSecond  = 480
+	bookingsPerSecond = 60
 	uploadsPerSecond  = 4
 	checksPerSecond   = 15
 	uploadBytes       = 400 << 10
--- a/internal/fleet/member/sync.go
+++ b/internal/fleet/member/sync.go
@@ -58,23 +58,7 @@
 	for _, n := range req.News {
 		c.learnNews(now, n)
 	}
-	var r SyncReply
-	switch {
-	case req.Mask != 0:
-		r = c.difference(req, page)
-		r.Served = page
-		r.Facts = append(r.Facts, c.self)
-	case req.Compare:
-		r.Equal = req.Root == c.digest.root
-		switch {
-		case r.Equal:
-		case c.digest.count <= smallTable:
-			r.Served = math.MaxUint64
-			r.Facts = c.live()
-		default:
-			r.Buckets = slices.Clone(c.digest.buckets[:])
-		}
-	}
+	r := c.answer(req, page)
 	// A fact about the asker that is newer than its own must be refuted.
 	if e, ok := c.members[req.Self.ID]; ok && e.fact.Supersedes(&req.Self) {
 		r.Facts = append(r.Facts, e.fact)
@@ -105,6 +89,26 @@
 	return slices.DeleteFunc(c.live(), func(f Fact) bool { return known[f.ID] })
 }
 
+// answer compares a request's digest or stamps with the own table.
+func (c *Core) answer(req *SyncRequest, page uint64) SyncReply {
+	var r SyncReply
+	switch {
+	case req.Mask != 0:
+		r = c.difference(req, page)
+		r.Served = page
+		r.Facts = append(r.Facts, c.self)
+	case !req.Compare:
+	case req.Root == c.digest.root:
+		r.Equal = true
+	case c.digest.count <= smallTable:
+		r.Served = math.MaxUint64
+		r.Facts = c.live()
+	default:
+		r.Buckets = slices.Clone(c.digest.buckets[:])
+	}
+	return r
+}
+
 // page cuts a mask down to the first buckets that fit into one reply.
 func (c *Core) page(mask uint64) uint64 {
 	for bits.OnesCount64(mask) > 1 && c.bytesIn(mask) > maxReply {
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -104,6 +104,7 @@
 		link.WithLogger(d.log),
 		link.WithMaxSessions(d.cfg.Limits.Peers),
 		link.WithCalls(d.guard.Handle),
+		link.WithControl(wire.ControlKind_CONTROL_KIND_PROBE, d.guard.Probe),
 		link.WithControl(wire.ControlKind_CONTROL_KIND_SYNC, d.fleet.serveSync),
 		handle(d.meter, wire.ControlKind_CONTROL_KIND_REVISIONS, d.exchange),
 		handle(d.meter, wire.ControlKind_CONTROL_KIND_REPORT, d.explain.answer),
--- a/internal/path/entry/hedge_test.go
+++ b/internal/path/entry/hedge_test.go
@@ -32,6 +32,8 @@
 	return p.after, p.after > 0
 }
 
+func (p *policy) MayHedge() bool { return true }
+
 func (p *policy) Decide(now clock.Milli, a retry.Attempt) retry.Verdict {
 	v := p.Policy.Decide(now, a)
 	v.Delay = p.delay
--- a/internal/path/guard/guard_test.go
+++ b/internal/path/guard/guard_test.go
@@ -96,7 +96,7 @@
 			go func() { _ = ask(b.WithT, b.m.Pool, b.n, callFrame(c)) }()
 			<-b.running
 			b.Expect(refusal(ask(b.WithT, b.m.Pool, b.n, callFrame(c)))).To(Equal([2]string{"unknown", "duplicate"}))
-			b.Expect(refusal(ask(b.WithT, b.m.Pool, b.n, callFrame(start(b.m.Clock, 9))))).To(Equal([2]string{"not_run", "slots_full"}))
+			b.Expect(refusal(ask(b.WithT, b.m.Pool, b.n, callFrame(start(b.m.Clock, 9))))).To(Equal([2]string{"not_run", "queue_timeout"}))
 			close(b.hold)
 		}},
 		"duplicate lookup beside the call keeps its slot taken": {1, func(b *bench, c *wire.CallStart) {
@@ -104,7 +104,7 @@
 			go func() { _ = ask(b.WithT, b.m.Pool, b.n, callFrame(c)) }()
 			<-b.running
 			b.Expect(refusal(ask(b.WithT, b.m.Pool, b.n, callFrame(c)))).To(Equal([2]string{"unknown", "duplicate"}))
-			b.Expect(refusal(ask(b.WithT, b.m.Pool, b.n, callFrame(start(b.m.Clock, 9))))).To(Equal([2]string{"not_run", "slots_full"}))
+			b.Expect(refusal(ask(b.WithT, b.m.Pool, b.n, callFrame(start(b.m.Clock, 9))))).To(Equal([2]string{"not_run", "queue_timeout"}))
 			close(b.hold)
 		}},
 		"passed deadline": {0, func(b *bench, c *wire.CallStart) {
