guard: assert at_most_once, true_not_run and leaving where a request is handed over

The decision was tested, but the running program did not check it by itself. The check stands apart from the decision, so that a fault of the decision counts, is logged and fails a test.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -3,6 +3,7 @@
 package ledger
 
 import (
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/assert"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 )
@@ -50,10 +51,19 @@
 	if ok && !r.Repeatable {
 		return call.ReasonDuplicate
 	}
+	l.verify(r)
 	l.put(now, r.ID, handed, r.Deadline)
 	return call.ReasonNone
 }
 
+// verify asserts, apart from the decision above it, that the request was not
+// handed over before and that nobody was told that it never will be.
+func (l *Ledger) verify(r *call.Request) {
+	old := l.records[r.ID].state
+	assert.That(old != fenced, assert.TrueNotRun, "request %s runs after it was fenced", r.ID)
+	assert.That(old != handed || r.Repeatable, assert.AtMostOnce, "request %s runs twice", r.ID)
+}
+
 // Fence forbids the request from now on. It returns NotRun if the request was
 // never handed over, and Unknown otherwise. A fence that arrives after the
 // record of its request may have expired is answered with Unknown too.
--- a/internal/path/guard/admission.go
+++ b/internal/path/guard/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/assert"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 )
@@ -104,6 +105,8 @@
 	now := g.clock.Now()
 	reason := g.ledger.HandOver(now, r)
 	if reason == call.ReasonNone {
+		assert.That(!g.leaving || now-g.leftAt <= leaveWithin, assert.Leaving,
+			"request %s runs %.0f ms after the guard began to leave", r.ID, float64(now-g.leftAt))
 		g.started(now, r)
 	}
 	return reason
--- a/internal/path/guard/guard.go
+++ b/internal/path/guard/guard.go
@@ -20,6 +20,9 @@
 // tickInterval lets queued calls time out soon after their limit.
 const tickInterval = 2 * clock.Millisecond
 
+// leaveWithin is the bound of the invariant leaving.
+const leaveWithin = 3 * clock.Second
+
 // Sample is the end of a call at the upstream, for the comparison of versions.
 type Sample struct {
 	Request *call.Request
@@ -50,8 +53,10 @@
 	// held has the calls from their offer to the admitter until their end.
 	held    map[call.ID]struct{}
 	leaving bool
-	active  int
-	idle    chan struct{}
+	// leftAt is when the guard began to leave.
+	leftAt clock.Milli
+	active int
+	idle   chan struct{}
 }
 
 // Option changes a Guard.
@@ -126,7 +131,7 @@
 func (g *Guard) Leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.leaving = true
+	g.leaving, g.leftAt = true, g.clock.Now()
 	g.admit.Leave()
 	if g.active == 0 {
 		g.closeIdle()
