--- /dev/null
+++ b/internal/path/guard/stop_test.go
@@ -0,0 +1,41 @@
+package guard_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/bench/mesh"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+)
+
+// Guards against a planned stop that ends before the calls in progress, and
+// against new work for an upstream that is leaving.
+func TestLeaveAndDrain(t *testing.T) {
+	g := NewWithT(t)
+	m := mesh.New(t)
+	running, hold := make(chan struct{}, 2), make(chan struct{})
+	n := m.Add(mesh.Spec{Slots: 2, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		running <- struct{}{}
+		<-hold
+	})})
+	answered := make(chan bool, 1)
+	go func() { answered <- ask(g, m.Pool, n, callFrame(start(m.Clock, 1))).GetReplyHead() != nil }()
+	<-running
+	n.Guard.Leave()
+
+	refused := ask(g, m.Pool, n, callFrame(start(m.Clock, 2))).GetRefused()
+	g.Expect(call.Reason(refused.GetReason())).To(Equal(call.ReasonLeaving))
+	g.Expect(call.Outcome(refused.GetOutcome())).To(Equal(call.NotRun))
+	g.Expect(refused.GetView().GetLeaving()).To(BeTrue())
+
+	short, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	g.Expect(n.Guard.Drain(short)).To(Equal(1))
+	close(hold)
+	g.Expect(<-answered).To(BeTrue())
+	g.Expect(n.Guard.Drain(context.Background())).To(BeZero())
+}
