measure-path: read counters with a token

The counters of the administration port need a token since the API guards them, so measure-path ended with EOF.

--- a/cmd/measure-path/main.go
+++ b/cmd/measure-path/main.go
@@ -79,7 +79,7 @@
 	if err := entry.WaitRouted(service); err != nil {
 		return false, errors.Wrap(err, service)
 	}
-	m := &measurement{options: o, entry: entry, guard: guard}
+	m := &measurement{options: o, token: set.Token, entry: entry, guard: guard}
 	m.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: slots, DisableCompression: true}}
 	pass := true
 	for _, rate := range o.Rates {
@@ -95,6 +95,7 @@
 
 type measurement struct {
 	options options
+	token   string
 	entry   *procs.Daemon
 	guard   *procs.Daemon
 	client  *http.Client
@@ -190,7 +191,12 @@
 }
 
 func (m *measurement) mallocs(d *procs.Daemon) (float64, error) {
-	resp, err := m.client.Get("http://" + d.Admin + "/debug/vars")
+	req, err := http.NewRequest(http.MethodGet, "http://"+d.Admin+"/debug/vars", http.NoBody)
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+m.token)
+	resp, err := m.client.Do(req)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/bench/procs/procs.go
+++ b/internal/bench/procs/procs.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/admin/auth"
 )
 
 // ErrNotReady says that a process did not become ready in time.
@@ -71,6 +73,9 @@
 
 // Set is a platform log with the processes around it.
 type Set struct {
+	// Token opens the administration API of the daemons.
+	Token string
+	hash  string
 	// Bin holds the programs.
 	Bin string
 	// Dir holds the settings files.
@@ -110,7 +115,11 @@
 
 // NewSet starts a platform log. The programs are in bin.
 func NewSet(bin, dir string) (*Set, error) {
-	s := &Set{Bin: bin, Dir: dir}
+	secret, hash, err := auth.NewSecret()
+	if err != nil {
+		return nil, err
+	}
+	s := &Set{Bin: bin, Dir: dir, Token: auth.BootstrapID + "." + secret, hash: hash}
 	addr, err := Address()
 	if err != nil {
 		return nil, err
@@ -157,8 +166,8 @@
 	}
 	file := filepath.Join(s.Dir, strings.ReplaceAll(d.Peer, ":", "-")+".toml")
 	text := fmt.Sprintf("[node]\nfleet = %q\nservice = %q\ncentre = \"c1\"\nslots = %d\nconnections = %d\n"+
-		"[listen]\nentry = %q\npeer = %q\nadmin = %q\nupstream = %q\n[log]\nurl = %q\n%s\n",
-		Fleet, spec.Service, spec.Slots, 2*spec.Slots, d.Entry, d.Peer, d.Admin, d.Upstream, s.Log, spec.Extra)
+		"[listen]\nentry = %q\npeer = %q\nadmin = %q\nupstream = %q\n[log]\nurl = %q\n[admin]\nbootstrap_hash = %q\n%s\n",
+		Fleet, spec.Service, spec.Slots, 2*spec.Slots, d.Entry, d.Peer, d.Admin, d.Upstream, s.Log, s.hash, spec.Extra)
 	const mode = 0o600
 	if err := os.WriteFile(file, []byte(text), mode); err != nil {
 		return nil, err
