fold: settle version moves with the moves' own rules

The fold and the moves each had a form of a verdict and rules to apply it. One remains, in internal/moves/shift.

--- a/internal/admin/server/shapes.go
+++ b/internal/admin/server/shapes.go
@@ -6,6 +6,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/fold"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/policy"
+	"gitlab.com/cranberrytack/cranberrytack/internal/moves/shift"
 )
 
 // Exception is an exception as the API shows it.
@@ -121,9 +122,9 @@
 func moveState(m *policy.VersionMove) string {
 	switch {
 	case m.TakenBack:
-		return fold.VerdictTakenBack
+		return string(shift.RulingTakenBack)
 	case m.Done:
-		return fold.VerdictDone
+		return string(shift.RulingDone)
 	default:
 		return "open"
 	}
--- a/internal/conf/fold/fold_test.go
+++ b/internal/conf/fold/fold_test.go
@@ -11,6 +11,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/applog"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/fold"
+	"gitlab.com/cranberrytack/cranberrytack/internal/moves/shift"
 )
 
 const why = "The power supply is replaced on Tuesday night."
@@ -35,7 +36,7 @@
 }
 
 func verdict(name, word string, revision, base int64) applog.Record {
-	r, err := fold.NewVerdict(fold.Verdict{Move: name, Revision: revision, Verdict: word, Evidence: "9 of 10 calls failed"}, base, "m1", 0)
+	r, err := (&shift.Verdict{Move: name, Revision: revision, Ruling: shift.Ruling(word), Judge: "m1", Evidence: "9 of 10 calls failed"}).Record(base)
 	if err != nil {
 		panic(err)
 	}
@@ -62,10 +63,10 @@
 		"withdrawal of nothing":  {[]applog.Record{withdraw("a", "x", 0)}, []fold.Status{fold.StatusRefused}, ""},
 		"two moves of a service": {[]applog.Record{move("a", "x", "v2", 0), move("b", "y", "v3", 0)}, []fold.Status{fold.StatusAccepted, fold.StatusConflict}, "a"},
 		"second move later":      {[]applog.Record{move("a", "x", "v2", 0), move("b", "y", "v3", 1)}, []fold.Status{fold.StatusAccepted, fold.StatusRefused}, ""},
-		"move after verdict":     {[]applog.Record{move("a", "x", "v2", 0), verdict("x", fold.VerdictTakenBack, 1, 1), move("b", "y", "v3", 2)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusAccepted}, ""},
-		"second verdict":         {[]applog.Record{move("a", "x", "v2", 0), verdict("x", fold.VerdictTakenBack, 1, 1), verdict("x", fold.VerdictDone, 1, 1)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusConflict}, "verdict-x-1-taken_back"},
-		"same verdict twice":     {[]applog.Record{move("a", "x", "v2", 0), verdict("x", fold.VerdictDone, 1, 1), verdict("x", fold.VerdictDone, 1, 1)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusDuplicate}, ""},
-		"verdict on old move":    {[]applog.Record{move("a", "x", "v2", 0), move("b", "x", "v3", 1), verdict("x", fold.VerdictDone, 1, 2)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusRefused}, ""},
+		"move after verdict":     {[]applog.Record{move("a", "x", "v2", 0), verdict("x", string(shift.RulingTakenBack), 1, 1), move("b", "y", "v3", 2)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusAccepted}, ""},
+		"second verdict":         {[]applog.Record{move("a", "x", "v2", 0), verdict("x", string(shift.RulingTakenBack), 1, 1), verdict("x", string(shift.RulingDone), 1, 1)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusConflict}, "verdict-x-1-taken_back"},
+		"same verdict twice":     {[]applog.Record{move("a", "x", "v2", 0), verdict("x", string(shift.RulingDone), 1, 1), verdict("x", string(shift.RulingDone), 1, 1)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusDuplicate}, ""},
+		"verdict on old move":    {[]applog.Record{move("a", "x", "v2", 0), move("b", "x", "v3", 1), verdict("x", string(shift.RulingDone), 1, 2)}, []fold.Status{fold.StatusAccepted, fold.StatusAccepted, fold.StatusRefused}, ""},
 		"base in the future":     {[]applog.Record{centreOut("a", "x", "north", 5)}, []fold.Status{fold.StatusRefused}, ""},
 		"bad document":           {[]applog.Record{change("a", 0, "weight = 1")}, []fold.Status{fold.StatusRefused}, ""},
 	}
@@ -143,7 +144,7 @@
 		case 1:
 			records = append(records, move(id, name, centre, base))
 		case 2:
-			records = append(records, verdict(name, rapid.SampledFrom([]string{fold.VerdictDone, fold.VerdictTakenBack}).Draw(t, "word"), base, base))
+			records = append(records, verdict(name, rapid.SampledFrom([]string{string(shift.RulingDone), string(shift.RulingTakenBack)}).Draw(t, "word"), base, base))
 		case 3:
 			records = append(records, applog.Record{ID: id, Kind: applog.KindAnnounce, Body: fmt.Appendf(nil, `{"address":%q,"incarnation":%d}`, name, i)})
 		case 4:
