report: name withdrawn exceptions and sum up daemons that started late

Cause: after a data centre was returned, the report of the demo no longer said who had taken it out and why, as the withdrawal dropped the exception; and it had one line for each of 15 daemons that were younger than the time span. The fold keeps the last 64 withdrawn exceptions for reports.

--- a/internal/admin/report/evidence.go
+++ b/internal/admin/report/evidence.go
@@ -57,18 +57,28 @@
 // unseen names what the report does not cover.
 func unseen(replies []reply, q *Query) []string {
 	var out []string
+	var young []string
+	var since clock.Milli
 	for i := range replies {
 		r := &replies[i]
 		switch {
 		case r.err != nil:
 			out = append(out, fmt.Sprintf("The daemon %s did not answer (%v), so calls that only it knows of are missing.", r.name, r.err))
 		case q.Request == "" && r.answer.Since > q.From:
-			out = append(out, fmt.Sprintf("The daemon %s knows nothing of the time before %s.", r.name, when(min(r.answer.Since, q.To))))
+			young = append(young, r.name)
+			since = max(since, min(r.answer.Since, q.To))
 		}
 		if r.answer.Uncounted > 0 {
 			out = append(out, fmt.Sprintf("The daemon %s had no room to count %s.", r.name, calls(r.answer.Uncounted)))
 		}
 	}
+	switch {
+	case len(young) == 1:
+		out = append(out, fmt.Sprintf("The daemon %s knows nothing of the time before %s.", young[0], when(since)))
+	case len(young) > 1:
+		out = append(out, fmt.Sprintf("%d of %d daemons started in this time, the last at %s, and know nothing of the time before their start.",
+			len(young), len(replies), when(since)))
+	}
 	if len(replies) == 0 {
 		return []string{"No daemon could be asked."}
 	}
--- a/internal/admin/report/explain.go
+++ b/internal/admin/report/explain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
@@ -69,13 +70,13 @@
 // rules names the exceptions that were in force in the time of the query.
 func rules(cfg *policy.Config, q *Query) []string {
 	var out []string
-	for i := range cfg.Exceptions {
-		e := &cfg.Exceptions[i]
-		if concerns(e, q) {
-			out = append(out, rule(e))
-			if e.Move != nil && (e.Move.TakenBack || e.Move.Done) {
-				out = append(out, ruled(e))
-			}
+	for _, e := range append(slices.Clone(cfg.Past), cfg.Exceptions...) {
+		if !concerns(&e, q) {
+			continue
+		}
+		out = append(out, rule(&e))
+		if e.Move != nil && (e.Move.TakenBack || e.Move.Done) {
+			out = append(out, ruled(&e))
 		}
 	}
 	if len(out) == 0 {
@@ -125,7 +126,11 @@
 	if e.End != 0 {
 		span += " until " + when(e.End)
 	}
-	return fmt.Sprintf("%s %s%s (exception %s) and gave as reason: “%s”", e.Author, what, span, e.ID, e.Reason)
+	s := fmt.Sprintf("%s %s%s (exception %s) and gave as reason: “%s”", e.Author, what, span, e.ID, e.Reason)
+	if e.Withdrawn != "" {
+		s += " Then " + e.Withdrawn
+	}
+	return s
 }
 
 func ruled(e *policy.Exception) string {
--- a/internal/admin/report/report_test.go
+++ b/internal/admin/report/report_test.go
@@ -37,7 +37,12 @@
 }
 
 func config() *policy.Config {
-	return &policy.Config{Revision: 12, Exceptions: []policy.Exception{
+	past := []policy.Exception{{
+		ID: "centre-out-south", Effect: policy.EffectCentreOut, Scope: policy.Scope{Centre: "south"}, Author: "noc/ion",
+		Reason: "The network of the hall is being replaced.", Start: base - clock.Minute, End: base + clock.Minute,
+		Withdrawn: "noc/ana withdrew it and gave as reason: “The new network was tested.”",
+	}}
+	return &policy.Config{Revision: 12, Past: past, Exceptions: []policy.Exception{
 		{
 			ID: "out-cluj", Effect: policy.EffectCentreOut, Scope: policy.Scope{Centre: "cluj"}, Start: base, Author: "ana",
 			Reason: "The power supply in Cluj is replaced.",
--- a/internal/conf/fold/apply.go
+++ b/internal/conf/fold/apply.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/applog"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/policy"
 )
@@ -147,7 +148,12 @@
 	case policy.DocumentWithdrawal:
 		w := d.Withdrawal
 		e.entry.Subject, e.entry.Reason = "withdrawal of "+w.Of.String()+" "+w.ID, w.Reason
-		return withdraw(e, w)
+		if refusal := withdraw(e, w); refusal != "" {
+			return refusal
+		}
+		if w.Of == policy.DocumentException {
+			s.bury(e.next, w, r)
+		}
 	}
 	return ""
 }
@@ -205,6 +211,24 @@
 	return ""
 }
 
+// maxPast bounds the withdrawn exceptions that are kept for reports.
+const maxPast = 64
+
+// bury keeps a withdrawn exception for reports. The time of its end is the
+// sender's clock, which every daemon reads from the record alike.
+func (s *State) bury(next *policy.Config, w *policy.Withdrawal, r applog.Record) {
+	x, ok := s.d.Config.Exception(w.ID)
+	if !ok {
+		return
+	}
+	if at := clock.Milli(r.At); x.End == 0 || at < x.End {
+		x.End = at
+	}
+	x.Withdrawn = fmt.Sprintf("%s withdrew it and gave as reason: “%s”", r.Author, w.Reason)
+	next.Past = append(next.Past, x)
+	next.Past = next.Past[max(0, len(next.Past)-maxPast):]
+}
+
 func withdraw(e *edit, w *policy.Withdrawal) string {
 	found := false
 	switch w.Of {
@@ -241,6 +265,7 @@
 func clone(c *policy.Config) *policy.Config {
 	next := *c
 	next.Exceptions = slices.Clone(c.Exceptions)
+	next.Past = slices.Clone(c.Past)
 	next.Teams = slices.Clone(c.Teams)
 	next.Tokens = slices.Clone(c.Tokens)
 	return &next
--- a/internal/conf/fold/fold_test.go
+++ b/internal/conf/fold/fold_test.go
@@ -191,3 +191,24 @@
 		g.Expect(q.State().Hash()).To(Equal(want.Hash()))
 	})
 }
+
+// Guards against reports that can't say who took a data centre out once the
+// exception was withdrawn, and against records that grow without bound.
+func TestWithdrawnExceptionsAreKept(t *testing.T) {
+	g := NewWithT(t)
+	s := fold.New()
+	for i := range 100 {
+		id := fmt.Sprintf("x%d", i)
+		base := int64(2 * i)
+		g.Expect(s.Apply(base+1, centreOut("out"+id, id, "north", base)).Outcome.Status).To(Equal(fold.StatusAccepted))
+		r := withdraw("back"+id, id, base+1)
+		r.At = 5000
+		g.Expect(s.Apply(base+2, r).Outcome.Status).To(Equal(fold.StatusAccepted))
+	}
+	past := s.Config().Past
+	g.Expect(s.Config().Exceptions).To(BeEmpty())
+	g.Expect(past).To(HaveLen(64))
+	g.Expect(past[63].ID).To(Equal("x99"))
+	g.Expect(past[63].End).To(BeEquivalentTo(5000))
+	g.Expect(past[63].Withdrawn).To(ContainSubstring(why))
+}
--- a/internal/conf/policy/config.go
+++ b/internal/conf/policy/config.go
@@ -17,8 +17,11 @@
 	Revision   int64
 	Defaults   Defaults
 	Exceptions []Exception
-	Teams      []Team
-	Tokens     []Token
+	// Past holds the exceptions that were withdrawn lately, the newest last. They
+	// have no effect; reports about earlier times name them.
+	Past   []Exception
+	Teams  []Team
+	Tokens []Token
 }
 
 // Defaults apply to the whole fleet.
@@ -78,6 +81,8 @@
 	// Start is zero for at once, End is zero for until withdrawn.
 	Start clock.Milli
 	End   clock.Milli
+	// Withdrawn says who took the exception back and why, empty while it stands.
+	Withdrawn string
 	// Revision is the log offset that accepted the exception.
 	Revision int64
 	Move     *VersionMove
