entry: make the test of an error before a refusal able to fail

Each call now meets fresh targets, and the test fails when an answer that reports an error does not count as a run.

--- a/internal/path/entry/error_test.go
+++ b/internal/path/entry/error_test.go
@@ -47,12 +47,13 @@
 // Guards against a "not run" for a lookup that was run and got an error.
 func TestErrorThenRefusalIsNotNotRun(t *testing.T) {
 	g := NewWithT(t)
-	m := mesh.New(t, withPolicy(policy{}))
-	m.Add(mesh.Spec{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) })})
-	n := m.Add(mesh.Spec{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) })})
-	for range 4 {
+	fail := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) })
+	// The first target is drawn, so that some of the calls meet the error first.
+	for range 16 {
+		m := mesh.New(t, withPolicy(policy{}))
+		m.Add(mesh.Spec{Handler: fail})
+		m.Add(mesh.Spec{Handler: fail}).Guard.Leave()
 		r := m.Do(m.Request(http.MethodGet, "/", nil))
-		n.Guard.Leave()
 		g.Expect(r.Header.Get(header.Outcome)).NotTo(Equal("not_run"))
 	}
 }
