daemon: serve accepted connections before the server shuts down

Cause: http.Server.Shutdown drops a request that it reads while it shuts down, without an answer. Ruled out: an answer cut by the upstream, as no such fault was active. The listener now closes 500 ms before the server shuts down.

--- a/internal/node/daemon/servers.go
+++ b/internal/node/daemon/servers.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	"github.com/justinas/alice"
 	"github.com/pkg/errors"
@@ -13,6 +15,7 @@
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/admin/auth"
 	"gitlab.com/cranberrytack/cranberrytack/internal/admin/server"
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/config"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 )
@@ -33,6 +36,7 @@
 	server   *http.Server
 	listener net.Listener
 	limit    int
+	closing  atomic.Bool
 }
 
 // Serve implements suture.Service.
@@ -40,7 +44,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = h.server.Close() })
 	defer stop()
 	err := h.server.Serve(netutil.LimitListener(h.listener, h.limit))
-	if errors.Is(err, http.ErrServerClosed) {
+	if h.closing.Load() || errors.Is(err, http.ErrServerClosed) {
 		// A graceful stop closed the server; the supervisor must not restart it.
 		<-ctx.Done()
 		return ctx.Err()
@@ -48,6 +52,20 @@
 	return err
 }
 
+// acceptedWithin is how long a request may be under way on a connection that
+// was accepted just before the listener closed.
+const acceptedWithin = 500 * clock.Millisecond
+
+// stop ends the server after all requests. The listener closes first:
+// http.Server.Shutdown drops a request that it reads at the same moment, so
+// the requests of connections that were just accepted must be read before.
+func (h *httpServer) stop(ctx context.Context) error {
+	h.closing.Store(true)
+	_ = h.listener.Close()
+	time.Sleep(acceptedWithin.Duration())
+	return h.server.Shutdown(ctx)
+}
+
 func newPublicServer(cfg config.Config, handler http.Handler, ready *readiness) *httpServer {
 	chain := alice.New(ready.closeWhenStopping)
 	return &httpServer{server: baseServer(cfg, chain.Then(handler)), limit: cfg.Limits.Callers}
--- a/internal/path/entry/error_test.go
+++ b/internal/path/entry/error_test.go
@@ -47,7 +47,7 @@
 // Guards against a "not run" for a lookup that was run and got an error.
 func TestErrorThenRefusalIsNotNotRun(t *testing.T) {
 	g := NewWithT(t)
-	fail := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) })
+	fail := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
 	// The first target is drawn, so that some of the calls meet the error first.
 	for range 16 {
 		m := mesh.New(t, withPolicy(policy{}))
