daemon: follow the membership only when it changed

A second read of the change found work done again: the mover rebuilt a map of all members ten times a second, which is 3,200 entries at the planned size, sorted the same ids in three places, and built its status twice. It now follows a new version of the membership only, keeps the sorted ids and has one place for the status. Behaviour is the same; the saving was not measured.

--- a/internal/node/daemon/evidence.go
+++ b/internal/node/daemon/evidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/shift"
@@ -63,15 +62,12 @@
 	return false
 }
 
+// members returns the ids of the live members in order. The slice must not be
+// changed.
 func (m *mover) members() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	ids := make([]string, 0, len(m.known))
-	for id := range m.known {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
+	return m.ids
 }
 
 // loopSend delivers evidence to one member.
--- a/internal/node/daemon/mover.go
+++ b/internal/node/daemon/mover.go
@@ -54,10 +54,14 @@
 	centres *centre.Core
 	shifts  *shift.Core
 	known   map[string]bool
-	loads   map[string]*wire.StatusReply
-	offers  *offers
-	last    []centre.Move
-	seen    *history
+	// ids holds the keys of known in order; a new slice replaces it.
+	ids []string
+	// followed is the version of the membership that known is of.
+	followed uint64
+	loads    map[string]*wire.StatusReply
+	offers   *offers
+	last     []centre.Move
+	seen     *history
 }
 
 // Serve implements suture.Service.
@@ -105,16 +109,16 @@
 }
 
 func (m *mover) step(now clock.Milli) []shift.Action {
+	// The version is read first: a change in between is followed next time.
+	version := m.fleet.Version()
 	members := m.fleet.Members()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.follow(members)
-	fore, back := m.counts.busy()
-	m.observe(now, &wire.StatusReply{
-		Member: m.self.ID, Centre: m.self.Centre, Service: m.self.Service,
-		Revision: m.conf.Config().Revision, InProgress: uint32(m.guard.InProgress()),
-		Slots: uint32(m.self.Slots), Foreground: fore, Background: back,
-	})
+	if version != m.followed {
+		m.followed = version
+		m.follow(members)
+	}
+	m.observe(now, m.ownStatus())
 	m.last = m.centres.Step(now)
 	m.offers.step(now)
 	for service, load := range m.offers.load {
@@ -152,8 +156,8 @@
 	if !changed {
 		return
 	}
-	m.known = live
 	slices.Sort(ids)
+	m.known, m.ids = live, ids
 	m.shifts.Members(ids)
 }
 
--- a/internal/node/daemon/peers.go
+++ b/internal/node/daemon/peers.go
@@ -19,6 +19,8 @@
 type Membership interface {
 	// Members returns the live members, this daemon included.
 	Members() []call.Target
+	// Version changes with the members.
+	Version() uint64
 }
 
 // controlOverhead is what one control message costs beside its payload: the
--- a/internal/node/daemon/survey.go
+++ b/internal/node/daemon/survey.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sort"
 	"sync"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
@@ -18,12 +17,16 @@
 
 // status answers a peer that asks for this daemon's status.
 func (m *mover) status(context.Context, *wire.ReportQuery) (*wire.StatusReply, error) {
+	return m.ownStatus(), nil
+}
+
+func (m *mover) ownStatus() *wire.StatusReply {
 	fore, back := m.counts.busy()
 	return &wire.StatusReply{
 		Member: m.self.ID, Centre: m.self.Centre, Service: m.self.Service,
 		Revision: m.conf.Config().Revision, InProgress: uint32(m.guard.InProgress()),
 		Slots: uint32(m.self.Slots), Foreground: fore, Background: back,
-	}, nil
+	}
 }
 
 // survey asks members for their status if this daemon is a judge of a data
@@ -41,11 +44,7 @@
 func (m *mover) toAsk(now clock.Milli) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	members := make([]string, 0, len(m.known))
-	for id := range m.known {
-		members = append(members, id)
-	}
-	sort.Strings(members)
+	members := m.ids
 	var out []string
 	for _, mv := range m.last {
 		if mv.State != centre.Draining && mv.State != centre.Done && mv.State != centre.Announced {
