--- a/internal/node/daemon/servers_test.go
+++ b/internal/base/httpd/httpd_test.go
@@ -1,4 +1,4 @@
-package daemon
+package httpd_test
 
 import (
 	"context"
@@ -10,6 +10,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/httpd"
 )
 
 // Guards against a planned stop that drops a request on a connection which was
@@ -19,9 +21,9 @@
 	for range 10 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		g.Expect(err).NotTo(HaveOccurred())
-		h := &httpServer{
-			server:   &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})},
-			listener: l, limit: 100,
+		h := &httpd.Server{
+			HTTP:     &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})},
+			Listener: l, Connections: 100,
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
@@ -32,7 +34,7 @@
 			wg.Go(func() { hammer(l.Addr().String(), cut) })
 		}
 		time.Sleep(20 * time.Millisecond)
-		g.Expect(h.stop(context.Background())).To(Succeed())
+		g.Expect(h.Stop(context.Background())).To(Succeed())
 		wg.Wait()
 		cancel()
 		g.Expect(<-done).To(MatchError(context.Canceled))
--- a/internal/bench/mesh/mesh.go
+++ b/internal/bench/mesh/mesh.go
@@ -81,6 +81,7 @@
 	m := &Mesh{Clock: clock.NewReal(), tb: tb, decided: make(chan entry.Decision, decisions), settings: &policy.Config{}}
 	m.Pool = link.NewPool(Identity("entry"), m.Clock)
 	opts = append(opts, entry.WithRecord(func(d entry.Decision) { m.decided <- d }))
+	opts = append([]entry.Option{entry.WithPolicy(m.Config)}, opts...)
 	m.Entry = entry.New(call.Target{ID: "entry", Centre: "c1"}, m.Clock, m.Pool, m, m, opts...)
 	s := httptest.NewServer(m.Entry)
 	m.URL, m.HTTP = s.URL, s.Config
@@ -167,7 +168,7 @@
 	return m.version.Load()
 }
 
-// Config implements entry.Rules.
+// Config returns the configuration in force.
 func (m *Mesh) Config() *policy.Config {
 	return m.settings
 }
--- /dev/null
+++ b/internal/conf/feed/follow.go
@@ -0,0 +1,171 @@
+package feed
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+)
+
+const (
+	// readWait is how long the store may hold a read back until a record
+	// arrives. Each read has a price, so it is long.
+	readWait = 25 * clock.Second
+	// calm is the pause after a read, in which further records gather.
+	calm = 250 * clock.Millisecond
+	// firstRetry and lastRetry bound the pauses while the store is away. A
+	// daemon must be back two seconds after the store is.
+	firstRetry = 300 * clock.Millisecond
+	lastRetry  = 1500 * clock.Millisecond
+)
+
+// Sink takes in the items of a topic.
+type Sink interface {
+	// Replace takes in all items that are kept at end.
+	Replace(items []Item, end int64)
+	// Apply takes in items that follow those before, up to end.
+	Apply(items []Item, end int64)
+}
+
+// Follower keeps a sink up to date with a topic.
+type Follower struct {
+	store  Store
+	topic  string
+	sink   Sink
+	log    zerolog.Logger
+	from   int64
+	kick   chan struct{}
+	online atomic.Bool
+}
+
+// Option changes a follower.
+type Option func(*Follower)
+
+// WithFrom starts to follow at an offset up to which the sink has everything.
+func WithFrom(offset int64) Option {
+	return func(f *Follower) { f.from = offset }
+}
+
+// Unread is an offset that makes a follower read the whole topic first.
+const Unread = -1
+
+// NewFollower returns a follower of a topic.
+func NewFollower(s Store, topic string, sink Sink, log zerolog.Logger, opts ...Option) *Follower {
+	f := &Follower{store: s, topic: topic, sink: sink, log: log, from: Unread, kick: make(chan struct{}, 1)}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
+}
+
+// Online reports whether the last call to the store succeeded.
+func (f *Follower) Online() bool {
+	return f.online.Load()
+}
+
+// Kick ends a read that hangs and starts anew: a peer has seen records that
+// this follower did not get.
+func (f *Follower) Kick() {
+	select {
+	case f.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Serve implements suture.Service.
+func (f *Follower) Serve(ctx context.Context) error {
+	return f.run(ctx)
+}
+
+func (f *Follower) run(ctx context.Context) error {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = firstRetry.Duration(), lastRetry.Duration()
+	end := f.from
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, end)
+		switch {
+		case err == nil:
+			f.mark(true, nil)
+			retry.Reset()
+			end = next
+		case errors.Is(err, ErrGone):
+			f.log.Info().Str("topic", f.topic).Int64("from", end).Msg("store_records_gone")
+			end = Unread
+		default:
+			f.mark(false, err)
+			// What was missed meanwhile may be gone; a whole read is sure.
+			pause(ctx, retry.NextBackOff())
+		}
+	}
+	return ctx.Err()
+}
+
+// step reads once. It returns the offset to go on from.
+func (f *Follower) step(ctx context.Context, from int64) (int64, error) {
+	if from < 0 {
+		b, err := f.store.Newest(ctx, f.topic)
+		if err != nil {
+			return from, err
+		}
+		f.sink.Replace(b.Items, b.End)
+		return b.End, nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	select {
+	case <-f.kick:
+	default:
+	}
+	w := &watch{kick: f.kick, done: ctx.Done(), cancel: cancel}
+	go w.run()
+	b, err := f.store.Read(ctx, f.topic, from, readWait)
+	if err != nil {
+		return from, err
+	}
+	f.sink.Apply(b.Items, b.End)
+	if len(b.Items) > 0 {
+		pause(ctx, calm.Duration())
+	}
+	return b.End, nil
+}
+
+// mark logs when the store is lost and regained.
+func (f *Follower) mark(online bool, err error) {
+	if f.online.Swap(online) == online {
+		return
+	}
+	if online {
+		f.log.Info().Str("topic", f.topic).Msg("store_regained")
+		return
+	}
+	f.log.Warn().Str("topic", f.topic).Err(err).Msg("store_lost")
+}
+
+// watch cancels a read when its follower is kicked.
+type watch struct {
+	kick   <-chan struct{}
+	done   <-chan struct{}
+	cancel context.CancelFunc
+}
+
+func (w *watch) run() {
+	select {
+	case <-w.kick:
+		w.cancel()
+	case <-w.done:
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/conf/order/order.go
@@ -0,0 +1,207 @@
+// Package order holds what operators have ordered: routes, data centres taken
+// out and version moves, each as the newest record of its key.
+package order
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/assert"
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/route"
+)
+
+// Record is an order as it was written. Without a value, it takes back what
+// the key ordered.
+type Record struct {
+	Key     string
+	Value   []byte
+	Offset  int64
+	Removed bool
+}
+
+// Move asks for the traffic of a service to go to a version.
+type Move struct {
+	Service string
+	Version string
+	// Within is how long the move may take from the order on.
+	Within clock.Milli
+	// Offset tells an order from earlier ones for the same service.
+	Offset int64
+	// Seen is when this daemon took the order in, or the estimate of a peer.
+	Seen clock.Milli
+}
+
+// Order is a decoded record; exactly one field is set.
+type Order struct {
+	Table  *route.Table
+	Move   *Move
+	Centre string
+}
+
+// Decoder reads a record. It returns an error for one that can't be followed
+// and an empty order for a key that orders nothing here.
+type Decoder func(key string, value []byte) (Order, error)
+
+// Orders is what is in force. It is not changed after it was published.
+type Orders struct {
+	// Table is nil until the first configuration arrived.
+	Table *route.Table
+	// Moves has the last move of each service.
+	Moves map[string]Move
+	// Out has the data centres that are out of service.
+	Out map[string]bool
+}
+
+// Book keeps the records. It is safe for concurrent use.
+type Book struct {
+	decode Decoder
+	clock  clock.Clock
+	log    zerolog.Logger
+	now    atomic.Pointer[Orders]
+
+	mu      sync.Mutex
+	records map[string]Record
+	parsed  map[string]Order
+	end     int64
+	notify  []func(*Orders)
+}
+
+// NewBook returns a book without orders.
+func NewBook(decode Decoder, clk clock.Clock, log zerolog.Logger) *Book {
+	b := &Book{
+		decode: decode, clock: clk, log: log,
+		records: make(map[string]Record), parsed: make(map[string]Order),
+	}
+	b.now.Store(&Orders{})
+	return b
+}
+
+// Orders returns what is in force.
+func (b *Book) Orders() *Orders {
+	return b.now.Load()
+}
+
+// Subscribe calls f after each change. It must be called before the first
+// record is applied.
+func (b *Book) Subscribe(f func(*Orders)) {
+	b.notify = append(b.notify, f)
+}
+
+// End is the offset after the last record that was applied.
+func (b *Book) End() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.end
+}
+
+// Records returns the newest record of each key.
+func (b *Book) Records() (records []Record, end int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, key := range slices.Sorted(maps.Keys(b.records)) {
+		records = append(records, b.records[key])
+	}
+	return records, b.end
+}
+
+// Apply takes in records that follow each other up to end.
+func (b *Book) Apply(records []Record, end int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	changed := false
+	for _, r := range records {
+		changed = b.put(r) || changed
+	}
+	b.end = max(b.end, end)
+	if changed {
+		b.publish()
+	}
+}
+
+// Replace takes in all records that are in force at end. A set that is older
+// than what is known changes nothing.
+func (b *Book) Replace(records []Record, end int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if end < b.end {
+		return
+	}
+	changed := false
+	kept := make(map[string]bool, len(records))
+	for _, r := range records {
+		kept[r.Key] = true
+		changed = b.put(r) || changed
+	}
+	for key, r := range b.records {
+		if !kept[key] && !r.Removed && r.Offset < end {
+			changed = b.put(Record{Key: key, Offset: r.Offset + 1, Removed: true}) || changed
+		}
+	}
+	b.end = end
+	if changed {
+		b.publish()
+	}
+}
+
+// put takes in one record and reports whether it changed what is in force.
+func (b *Book) put(r Record) bool {
+	old, known := b.records[r.Key]
+	if known && r.Offset <= old.Offset {
+		return false
+	}
+	if r.Removed {
+		b.records[r.Key] = r
+		_, had := b.parsed[r.Key]
+		if old := b.parsed[r.Key]; old.Table != nil {
+			// Routes are replaced, never taken back as a whole.
+			return false
+		}
+		delete(b.parsed, r.Key)
+		b.log.Info().Str("key", r.Key).Int64("offset", r.Offset).Msg("order_taken_back")
+		return had
+	}
+	o, err := b.decode(r.Key, r.Value)
+	if err != nil {
+		b.log.Warn().Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("order_unreadable")
+		return false
+	}
+	if t := b.parsed[r.Key].Table; t != nil && o.Table != nil && o.Table.Version < t.Version {
+		b.log.Warn().Int64("version", o.Table.Version).Int64("in_force", t.Version).Msg("order_outdated")
+		return false
+	}
+	if o.Move != nil {
+		o.Move.Offset, o.Move.Seen = r.Offset, b.clock.Now()
+	}
+	b.records[r.Key], b.parsed[r.Key] = r, o
+	b.log.Info().Str("key", r.Key).Int64("offset", r.Offset).Uint64("hash", xxhash.Sum64(r.Value)).Msg("order_in_force")
+	return true
+}
+
+// publish makes the records the orders in force. The caller holds the lock.
+func (b *Book) publish() {
+	o := &Orders{Moves: make(map[string]Move), Out: make(map[string]bool)}
+	for _, p := range b.parsed {
+		switch {
+		case p.Table != nil:
+			o.Table = p.Table
+		case p.Move != nil:
+			o.Moves[p.Move.Service] = *p.Move
+		case p.Centre != "":
+			o.Out[p.Centre] = true
+		}
+	}
+	if old := b.now.Load().Table; old != nil && o.Table != nil {
+		assert.That(o.Table.Version >= old.Version, assert.ConfigMonotone,
+			"version %d follows %d", o.Table.Version, old.Version)
+	}
+	b.now.Store(o)
+	for _, f := range b.notify {
+		f(o)
+	}
+}
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -14,6 +14,11 @@
 	ID       call.ID
 	Class    call.Class
 	Deadline clock.Milli
+	Rank     int
+	// Aim is the instant until which a response has its full value, zero if
+	// none was set.
+	Aim   clock.Milli
+	Route string
 }
 
 // Action admits or refuses one call.
@@ -35,6 +40,10 @@
 	NewConnection bool
 	// Epoch is what the upstream reports of its start, zero when it does not.
 	Epoch uint64
+	// NotRun says that the upstream refused the call unrun.
+	NotRun bool
+	// Load is what the upstream reported of itself, nil for nothing.
+	Load *call.Load
 }
 
 type running struct {
--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -7,7 +7,9 @@
 
 // Request describes a call without its body.
 type Request struct {
-	ID         ID
+	ID ID
+	// Label is the id that the caller gave the request, empty if there is none.
+	Label      string
 	Service    string
 	Route      string
 	Method     string
@@ -17,6 +19,14 @@
 	Retried  bool
 	Deadline clock.Milli
 	Depth    int
+	// Rank orders the calls that wait for an upstream; 0 is served first.
+	Rank int
+	// Attempts is the largest number of upstreams that may run the call, zero
+	// for the default.
+	Attempts int
+	// Aim is the instant until which a response has its full value, zero if
+	// none was set.
+	Aim clock.Milli
 }
 
 // Target is an upstream together with its daemon.
@@ -49,10 +59,33 @@
 	Latency clock.Milli
 	Cold    bool
 	Leaving bool
+	// Pace is how long work takes at the upstream's VM compared with usual;
+	// zero means that the upstream does not tell.
+	Pace float64
+	// Tallies count the calls of the upstream's version, for version moves.
+	Tallies []Tally
 	// Taken is when the view was received, on the clock of the receiver.
 	Taken clock.Milli
 }
 
+// Tally counts the finished calls of one route at an upstream since its start.
+type Tally struct {
+	Route  string
+	Calls  uint64
+	Failed uint64
+	// Spent is the total service time of the calls that did not fail.
+	Spent clock.Milli
+}
+
+// Load is what an upstream reports of itself.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Pace is how long work takes compared with usual, zero if not told.
+	Pace float64
+}
+
 // Result is how one attempt ended, as the entry saw it.
 type Result struct {
 	// Class is that of the request. Only interactive calls tell how fast a
--- a/internal/core/call/enums.go
+++ b/internal/core/call/enums.go
@@ -85,4 +85,10 @@
 	ReasonEjected                      // ejected
 	ReasonVersionBraked                // version_braked
 	ReasonConnections                  // connections
+	ReasonNoRoute                      // no_route
+	ReasonNoConfig                     // no_config
+	ReasonNotReady                     // not_ready
+	ReasonShed                         // shed
+	ReasonInvalidAnswer                // invalid_answer
+	ReasonLowestCost                   // lowest_cost
 )
--- /dev/null
+++ b/internal/core/lane/lane.go
@@ -0,0 +1,287 @@
+// Package lane orders the calls that wait for one upstream by rank and hands
+// them over within the upstream's slots and, while it is cold, within its rate.
+// It answers a load that is close to or above what the upstream can bear.
+package lane
+
+import (
+	"slices"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/assert"
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+)
+
+const (
+	// initialService stands in for the service time before any call has ended.
+	initialService = 200 * clock.Millisecond
+	// serviceSmooth is the weight of one call in the mean service time.
+	serviceSmooth = 0.1
+	// paceLife is how long a reported pace counts: it changes several times a
+	// second.
+	paceLife = 500 * clock.Millisecond
+	// queuePerSlot bounds the calls that wait, in multiples of the slots.
+	queuePerSlot = 3
+	// waitShare is the part of the time until a call's aim that it may wait.
+	waitShare = 0.5
+	// leastWait lets a short burst queue where the aim has passed.
+	leastWait = 30 * clock.Millisecond
+)
+
+type running struct {
+	started clock.Milli
+	route   string
+}
+
+type waiting struct {
+	ticket admit.Ticket
+	seq    uint64
+	until  clock.Milli
+}
+
+// Lane holds the calls of one upstream. It is not safe for concurrent use.
+type Lane struct {
+	slots   int
+	cold    pacer
+	active  map[call.ID]running
+	queue   []waiting
+	seq     uint64
+	service map[string]clock.Milli
+	pace    float64
+	paceAt  clock.Milli
+	tallies map[string]*call.Tally
+	leaving bool
+}
+
+// New returns a lane of an upstream with a number of slots.
+func New(slots int) *Lane {
+	return &Lane{
+		slots:   max(1, slots),
+		active:  make(map[call.ID]running),
+		service: make(map[string]clock.Milli),
+		tallies: make(map[string]*call.Tally),
+	}
+}
+
+// Restart forgets what was counted of an upstream that was replaced, and sets
+// its slots.
+func (l *Lane) Restart(slots int) {
+	l.slots = max(1, slots)
+	l.tallies = make(map[string]*call.Tally)
+	l.pace = 0
+}
+
+// Cold bounds the calls a second until an instant. A rate of zero sets no
+// bound.
+func (l *Lane) Cold(now, until clock.Milli, perSecond float64) {
+	l.cold.set(now, until, perSecond)
+}
+
+// Report takes in what the upstream said of itself.
+func (l *Lane) Report(now clock.Milli, load call.Load) {
+	if load.Pace > 0 {
+		l.pace, l.paceAt = load.Pace, now
+	}
+}
+
+// Leave refuses all calls that come from now on; calls that wait are served.
+func (l *Lane) Leave() {
+	l.leaving = true
+}
+
+// Offer asks for admission of a call.
+func (l *Lane) Offer(now clock.Milli, t admit.Ticket) []admit.Action {
+	actions := l.expire(now, nil)
+	switch {
+	case l.leaving:
+		return append(actions, admit.Action{ID: t.ID, Reason: call.ReasonLeaving})
+	case now >= t.Deadline:
+		return append(actions, admit.Action{ID: t.ID, Reason: call.ReasonDeadline})
+	}
+	if len(l.queue) == 0 && l.fits(now) {
+		return append(actions, l.admit(now, t))
+	}
+	l.seq++
+	w := waiting{ticket: t, seq: l.seq, until: l.until(now, t)}
+	at := l.place(w)
+	if reason := l.hopeless(now, at, w); reason != call.ReasonNone {
+		return append(actions, admit.Action{ID: t.ID, Reason: reason})
+	}
+	l.queue = slices.Insert(l.queue, at, w)
+	if len(l.queue) > queuePerSlot*l.slots {
+		last := l.queue[len(l.queue)-1]
+		l.queue = l.queue[:len(l.queue)-1]
+		actions = append(actions, admit.Action{ID: last.ticket.ID, Reason: call.ReasonQueueFull})
+	}
+	return l.dispatch(now, actions)
+}
+
+// until is the last instant at which a call may start.
+func (l *Lane) until(now clock.Milli, t admit.Ticket) clock.Milli {
+	left := t.Deadline - now
+	if t.Aim > 0 {
+		left = max(0, t.Aim-now)
+	}
+	return min(t.Deadline, now+max(leastWait, waitShare*left))
+}
+
+// place is the position of a call among those that wait: by rank, then by
+// arrival.
+func (l *Lane) place(w waiting) int {
+	at, _ := slices.BinarySearchFunc(l.queue, w, func(a, b waiting) int {
+		if a.ticket.Rank != b.ticket.Rank {
+			return a.ticket.Rank - b.ticket.Rank
+		}
+		return int(int64(a.seq) - int64(b.seq))
+	})
+	return at
+}
+
+// hopeless refuses a call at once that would not start in time.
+func (l *Lane) hopeless(now clock.Milli, ahead int, w waiting) call.Reason {
+	if l.cold.limits(now) {
+		if now+l.cold.wait(now, ahead) > w.until {
+			return call.ReasonCold
+		}
+		return call.ReasonNone
+	}
+	wait := clock.Milli(float64(ahead+1)/float64(l.slots)) * l.mean(now)
+	// Calls in progress end one by one, so the next slot is free sooner.
+	if now+wait/2 > w.until {
+		return call.ReasonQueueFull
+	}
+	return call.ReasonNone
+}
+
+// mean is the service time expected now.
+func (l *Lane) mean(now clock.Milli) clock.Milli {
+	if len(l.service) == 0 {
+		return initialService * clock.Milli(l.paceNow(now))
+	}
+	var sum clock.Milli
+	for _, s := range l.service {
+		sum += s
+	}
+	return sum / clock.Milli(len(l.service))
+}
+
+// Done takes in the end of an admitted call.
+func (l *Lane) Done(now clock.Milli, id call.ID, r admit.Result) []admit.Action {
+	run, ok := l.active[id]
+	if !ok {
+		return nil
+	}
+	delete(l.active, id)
+	if r.Load != nil {
+		l.Report(now, *r.Load)
+	}
+	if !r.Cancelled && !r.NotRun {
+		l.count(run.route, r)
+	}
+	return l.dispatch(now, l.expire(now, nil))
+}
+
+func (l *Lane) count(route string, r admit.Result) {
+	t := l.tallies[route]
+	if t == nil {
+		t = &call.Tally{Route: route}
+		l.tallies[route] = t
+	}
+	t.Calls++
+	if r.Failed {
+		t.Failed++
+		return
+	}
+	t.Spent += r.Latency
+	if old, ok := l.service[route]; ok {
+		r.Latency = old + serviceSmooth*(r.Latency-old)
+	}
+	l.service[route] = r.Latency
+}
+
+// Cancel removes a call that still waits for admission.
+func (l *Lane) Cancel(now clock.Milli, id call.ID) []admit.Action {
+	for i := range l.queue {
+		if l.queue[i].ticket.ID == id {
+			l.queue = slices.Delete(l.queue, i, i+1)
+			return l.dispatch(now, l.expire(now, []admit.Action{{ID: id, Reason: call.ReasonCancelled}}))
+		}
+	}
+	return nil
+}
+
+// Tick lets waiting calls time out or start.
+func (l *Lane) Tick(now clock.Milli) []admit.Action {
+	return l.dispatch(now, l.expire(now, nil))
+}
+
+// View reports the state of the upstream.
+func (l *Lane) View(now clock.Milli) call.View {
+	v := call.View{
+		InProgress: len(l.active),
+		Queued:     len(l.queue),
+		Limit:      l.slots,
+		Slots:      l.slots,
+		Latency:    l.mean(now),
+		Cold:       l.cold.limits(now),
+		Pace:       l.paceNow(now),
+		Leaving:    l.leaving,
+	}
+	if v.Cold {
+		v.Limit = max(1, min(l.slots, int(l.cold.tokens(now))))
+	}
+	return v
+}
+
+// Tallies returns the counts by route since the upstream's start.
+func (l *Lane) Tallies() []call.Tally {
+	out := make([]call.Tally, 0, len(l.tallies))
+	for _, t := range l.tallies {
+		out = append(out, *t)
+	}
+	return out
+}
+
+func (l *Lane) paceNow(now clock.Milli) float64 {
+	if l.pace == 0 || now-l.paceAt > paceLife {
+		return 1
+	}
+	return l.pace
+}
+
+func (l *Lane) fits(now clock.Milli) bool {
+	return len(l.active) < l.slots && l.cold.ready(now)
+}
+
+func (l *Lane) admit(now clock.Milli, t admit.Ticket) admit.Action {
+	_, twice := l.active[t.ID]
+	assert.That(!twice, assert.AtMostOnce, "id %s admitted while it runs", t.ID)
+	l.cold.take(now)
+	l.active[t.ID] = running{started: now, route: t.Route}
+	return admit.Action{ID: t.ID, Admit: true}
+}
+
+func (l *Lane) dispatch(now clock.Milli, actions []admit.Action) []admit.Action {
+	for len(l.queue) > 0 && l.fits(now) {
+		w := l.queue[0]
+		l.queue = l.queue[1:]
+		actions = append(actions, l.admit(now, w.ticket))
+	}
+	return actions
+}
+
+func (l *Lane) expire(now clock.Milli, actions []admit.Action) []admit.Action {
+	kept := l.queue[:0]
+	for _, w := range l.queue {
+		switch {
+		case now >= w.ticket.Deadline:
+			actions = append(actions, admit.Action{ID: w.ticket.ID, Reason: call.ReasonDeadline})
+		case now >= w.until:
+			actions = append(actions, admit.Action{ID: w.ticket.ID, Reason: call.ReasonQueueTimeout})
+		default:
+			kept = append(kept, w)
+		}
+	}
+	l.queue = kept
+	return actions
+}
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -12,8 +12,9 @@
 type Attempt struct {
 	Request *call.Request
 	Result  call.Result
-	// Number counts attempts from 1.
+	// Number counts attempts from 1, Ran those that may have run the request.
 	Number int
+	Ran    int
 	// Started is when the attempt began.
 	Started clock.Milli
 }
@@ -41,8 +42,8 @@
 	// at the start, regained at reserveRate per second.
 	reserve     = 2
 	reserveRate = 0.05
-	// hedgeFloor is the share of tokens that hedges leave for retries.
-	hedgeFloor = MaxTokens / 2
+	// hedgeFloor is the part of the tokens that hedges leave for retries.
+	hedgeFloor = 0.5
 	// hedgeDepth is the deepest level of a chain that hedges. A hedge repeats
 	// the whole chain below, so the shares of the levels multiply.
 	hedgeDepth = 1
@@ -55,15 +56,43 @@
 // Policy holds the retry budget of one service. It is not safe for
 // concurrent use.
 type Policy struct {
+	opts    options
 	tokens  float64
 	last    clock.Milli
 	refused float64
 	tail    tail
 }
 
+// Option changes a setting of a policy.
+type Option func(*options)
+
+type options struct {
+	share     float64
+	maxTokens float64
+	tries     int
+	freeMoves bool
+}
+
+// WithShare sets what each first attempt earns of a further attempt, and the
+// most that is saved up.
+func WithShare(share, most float64) Option {
+	return func(o *options) { o.share, o.maxTokens = share, most }
+}
+
+// WithFreeMoves lets a call that no upstream received go to another target
+// without charge, up to a number of tries. Only attempts that may have run the
+// call then count against its own limit.
+func WithFreeMoves(tries int) Option {
+	return func(o *options) { o.freeMoves, o.tries = true, tries }
+}
+
 // New returns a policy.
-func New() *Policy {
-	return &Policy{tokens: reserve}
+func New(opts ...Option) *Policy {
+	p := &Policy{opts: options{share: Share, maxTokens: MaxTokens, tries: MaxAttempts}, tokens: reserve}
+	for _, o := range opts {
+		o(&p.opts)
+	}
+	return p
 }
 
 // First counts the first attempt of a call.
@@ -72,7 +101,7 @@
 		p.tokens = min(reserve, p.tokens+reserveRate*float64((now-p.last)/clock.Second))
 	}
 	p.last = now
-	p.tokens = min(MaxTokens, p.tokens+Share)
+	p.tokens = min(p.opts.maxTokens, p.tokens+p.opts.share)
 }
 
 // Decide says whether a call is tried again. It is asked once for every
@@ -82,12 +111,12 @@
 	if a.Result.Outcome == call.Answered && !a.Result.Failed {
 		return Verdict{}
 	}
-	if r := refusal(now, a); r != call.ReasonNone {
+	if r := p.refusal(now, a); r != call.ReasonNone {
 		return Verdict{Reason: r, Final: a.Request.Retried || a.Number > 1}
 	}
 	// The guard refused for a rule that this entry had not heard of. Another
 	// target costs no upstream any work, so the budget is not charged.
-	if misdirected(a.Result.Reason) {
+	if misdirected(a.Result.Reason) || p.opts.freeMoves && a.Result.Outcome == call.NotRun && a.Result.Reason != call.ReasonShed {
 		return Verdict{Retry: true, Reason: call.ReasonRetry, Final: true}
 	}
 	if p.tokens < 1 {
@@ -99,7 +128,7 @@
 
 // refusal returns why an attempt must not be followed by another one, apart
 // from the budget.
-func refusal(now clock.Milli, a Attempt) call.Reason {
+func (p *Policy) refusal(now clock.Milli, a Attempt) call.Reason {
 	switch {
 	case a.Result.Outcome != call.NotRun && !a.Request.Repeatable:
 		return call.ReasonMayNotRepeat
@@ -111,13 +140,19 @@
 		return a.Result.Reason
 	case a.Result.Reason == call.ReasonCancelled:
 		return call.ReasonCancelled
-	case a.Number >= MaxAttempts:
+	case a.Number >= p.opts.tries || p.spent(a):
 		return call.ReasonRetryBudget
 	default:
 		return call.ReasonNone
 	}
 }
 
+// spent reports whether as many upstreams as the call's own limit allows may
+// have run it.
+func (p *Policy) spent(a Attempt) bool {
+	return p.opts.freeMoves && a.Request.Attempts > 0 && a.Ran >= a.Request.Attempts
+}
+
 // shed reports whether a call was refused for load. Background work that is
 // shed leaves the budget to calls that somebody waits for.
 func shed(r call.Reason) bool {
@@ -133,7 +168,7 @@
 // take new work at all.
 func misdirected(r call.Reason) bool {
 	switch r {
-	case call.ReasonCentreOut, call.ReasonLeaving, call.ReasonWrongService:
+	case call.ReasonCentreOut, call.ReasonLeaving, call.ReasonWrongService, call.ReasonNotReady, call.ReasonVersionBraked:
 		return true
 	default:
 		return false
@@ -160,7 +195,7 @@
 	if !r.Repeatable || r.Retried || a.Number > 1 || r.Depth > hedgeDepth || r.Class != call.Interactive {
 		return 0, false
 	}
-	if p.refused > refusalLimit || p.tokens < hedgeFloor {
+	if p.refused > refusalLimit || p.tokens < hedgeFloor*p.opts.maxTokens {
 		return 0, false
 	}
 	after, ok := p.tail.value()
@@ -174,7 +209,7 @@
 // earlier. It is asked when the hedge is due, as other calls may have spent
 // the tokens since.
 func (p *Policy) MayHedge() bool {
-	return p.tokens >= hedgeFloor && p.refused <= refusalLimit
+	return p.tokens >= hedgeFloor*p.opts.maxTokens && p.refused <= refusalLimit
 }
 
 // Hedged counts a hedge.
--- /dev/null
+++ b/internal/fleet/beat/keeper.go
@@ -0,0 +1,183 @@
+// Package beat follows the upstream beside a daemon by its heartbeats and health
+// checks: which instance it is and whether it may get calls.
+package beat
+
+import (
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+)
+
+// Report is one heartbeat of an upstream.
+type Report struct {
+	// Instance is the id of the upstream since its last start.
+	Instance string
+	// Born is the instant of its start on its own clock, zero if not told.
+	Born    clock.Milli
+	Version string
+	Slots   int
+	// Draining says that the upstream takes no new work any more.
+	Draining bool
+	// ColdFor is how much longer the upstream is cold.
+	ColdFor clock.Milli
+	// Seq grows with each heartbeat of an instance.
+	Seq uint64
+}
+
+// Health is the answer to a health check.
+type Health struct {
+	Instance string
+	Healthy  bool
+	ColdFor  clock.Milli
+	Load     *call.Load
+}
+
+// Upstream is what is known of the upstream.
+type Upstream struct {
+	Instance string
+	Born     clock.Milli
+	Version  string
+	Slots    int
+	// Leaving is set from the first sign that the instance drains or ends, and
+	// never taken back for that instance.
+	Leaving bool
+	// Down is set while connections to the upstream fail.
+	Down bool
+	// ColdUntil is when the upstream is warm.
+	ColdUntil clock.Milli
+}
+
+// Known reports whether an instance announced itself.
+func (u *Upstream) Known() bool {
+	return u.Instance != ""
+}
+
+// Usable reports whether the upstream may get calls.
+func (u *Upstream) Usable() bool {
+	return u.Known() && !u.Leaving && !u.Down
+}
+
+// maxRetired bounds the instances that are remembered as replaced.
+const maxRetired = 64
+
+// Keeper follows the upstream. It is not safe for concurrent use.
+type Keeper struct {
+	now     Upstream
+	seq     uint64
+	retired map[string]clock.Milli
+}
+
+// New returns a keeper that knows nothing.
+func New() *Keeper {
+	return &Keeper{retired: make(map[string]clock.Milli)}
+}
+
+// Upstream returns what is known now.
+func (k *Keeper) Upstream() Upstream {
+	return k.now
+}
+
+// Restore takes in what an earlier daemon on this VM announced. Heartbeats go
+// before it.
+func (k *Keeper) Restore(u Upstream) {
+	if !k.now.Known() {
+		u.Down = true
+		k.now = u
+	}
+}
+
+// Beat takes in a heartbeat. It reports whether the heartbeat is current; one
+// of an instance that was replaced or that overtook a newer one is not.
+func (k *Keeper) Beat(now clock.Milli, r Report) bool {
+	if k.stale(r) {
+		return false
+	}
+	if r.Instance != k.now.Instance || r.Born != k.now.Born {
+		k.replace(r)
+	}
+	k.seq = r.Seq
+	k.now.Version, k.now.Slots = r.Version, r.Slots
+	k.now.Down = false
+	k.now.Leaving = k.now.Leaving || r.Draining
+	k.cold(now, r.ColdFor)
+	return true
+}
+
+func (k *Keeper) stale(r Report) bool {
+	if born, ok := k.retired[r.Instance]; ok && r.Born <= born {
+		return true
+	}
+	if !k.now.Known() {
+		return false
+	}
+	if r.Born > 0 && k.now.Born > 0 && r.Born != k.now.Born {
+		return r.Born < k.now.Born
+	}
+	return r.Instance == k.now.Instance && r.Seq <= k.seq && k.seq > 0
+}
+
+// replace starts to follow another instance.
+func (k *Keeper) replace(r Report) {
+	if k.now.Known() && k.now.Instance != r.Instance {
+		if len(k.retired) >= maxRetired {
+			k.retired = make(map[string]clock.Milli)
+		}
+		k.retired[k.now.Instance] = k.now.Born
+	}
+	k.now = Upstream{Instance: r.Instance, Born: r.Born}
+	k.seq = 0
+}
+
+// Leave takes in that an instance ends; born is zero if it did not tell its
+// start. It reports whether it is the current one.
+func (k *Keeper) Leave(instance string, born clock.Milli) bool {
+	if instance == k.now.Instance && born > 0 && born < k.now.Born {
+		return false
+	}
+	if instance != k.now.Instance {
+		if _, ok := k.retired[instance]; !ok && len(k.retired) < maxRetired {
+			k.retired[instance] = 0
+		}
+		return false
+	}
+	k.now.Leaving = true
+	return true
+}
+
+// Check takes in the answer to a health check. A bad answer alone is no reason
+// to stop: the check may be wrong, and calls and heartbeats tell more.
+func (k *Keeper) Check(now clock.Milli, h Health) {
+	if !k.now.Known() {
+		return
+	}
+	if h.Instance != "" && h.Instance != k.now.Instance {
+		// Another instance has the address; its heartbeat will say what it is.
+		k.now.Down = true
+		return
+	}
+	if h.Healthy && h.Instance == k.now.Instance {
+		k.now.Down = false
+	}
+	if h.ColdFor > 0 {
+		k.cold(now, h.ColdFor)
+	}
+}
+
+// Failed takes in that no connection could be made.
+func (k *Keeper) Failed() {
+	k.now.Down = true
+}
+
+// Misdirected takes in that the upstream is not the expected instance.
+func (k *Keeper) Misdirected(instance string) {
+	if instance == k.now.Instance {
+		k.now.Down = true
+	}
+}
+
+func (k *Keeper) cold(now, left clock.Milli) {
+	if left <= 0 {
+		k.now.ColdUntil = 0
+		return
+	}
+	k.now.ColdUntil = now + left
+}
--- /dev/null
+++ b/internal/moves/canary/canary.go
@@ -0,0 +1,127 @@
+// Package canary moves the traffic of a service to a new version step by step
+// and takes it back when calls to that version fail or become slow.
+package canary
+
+import (
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+)
+
+// Phase is how far a move is.
+type Phase int
+
+// The phases.
+//
+//go:generate ../../../bin/stringer -type Phase -linecomment -output phase_string.go
+const (
+	Running    Phase = iota // running
+	Succeeded               // succeeded
+	RolledBack              // rolled_back
+)
+
+const (
+	// trialShare is the new version's part of the requests until it has proved
+	// itself. It stays below the tenth that a bad version may get.
+	trialShare = 0.08
+	// trialPart is the part of the time for a move during which the share stays
+	// at trialShare. Some versions turn bad only after seconds.
+	trialPart = 0.5
+	// stepPart is the part of the time for each later step.
+	stepPart = 0.09
+	// proofCalls are needed at the new version before its share grows.
+	proofCalls = 12
+	// latestPart is when the share grows even with fewer calls.
+	latestPart = 0.65
+)
+
+// steps are the shares after the trial.
+var steps = []float64{0.25, 0.5, 1, 1}
+
+// Move is one move and the evidence on it. It is not safe for concurrent use.
+type Move struct {
+	order    order.Move
+	phase    Phase
+	evidence evidence
+	// grew is when the share first grew, zero during the trial.
+	grew clock.Milli
+	// why explains a roll-back.
+	why string
+}
+
+// New returns a move that has just been ordered.
+func New(o order.Move) *Move {
+	return &Move{order: o, evidence: newEvidence()}
+}
+
+// Order returns the order of the move.
+func (m *Move) Order() order.Move { return m.order }
+
+// Phase returns how far the move is.
+func (m *Move) Phase() Phase { return m.phase }
+
+// Why explains a roll-back.
+func (m *Move) Why() string { return m.why }
+
+// Started takes over that a peer saw the order earlier.
+func (m *Move) Started(at clock.Milli) {
+	m.order.Seen = min(m.order.Seen, at)
+}
+
+// Settle takes over the final phase that another daemon found.
+func (m *Move) Settle(p Phase, why string) bool {
+	if m.phase != Running || p == Running {
+		return false
+	}
+	m.phase, m.why = p, why
+	return true
+}
+
+// Observe takes in the counts of an upstream of the service.
+func (m *Move) Observe(target string, incarnation uint64, version string, tallies []call.Tally) {
+	m.evidence.observe(target, incarnation, version == m.order.Version, tallies)
+}
+
+// Step looks at the evidence. It reports whether the phase changed.
+func (m *Move) Step(now clock.Milli) bool {
+	if m.phase != Running {
+		return false
+	}
+	if why := m.evidence.bad(); why != "" {
+		m.phase, m.why = RolledBack, why
+		return true
+	}
+	age := now - m.order.Seen
+	proved := m.evidence.calls(true) >= proofCalls
+	due := m.order.Within * trialPart
+	if !proved {
+		due = m.order.Within * latestPart
+	}
+	if m.grew == 0 && age >= due && m.evidence.calls(true) > 0 {
+		m.grew = now
+	}
+	if m.grew > 0 && m.step(now) >= len(steps) {
+		m.phase = Succeeded
+		return true
+	}
+	return false
+}
+
+// step is the number of steps since the share first grew.
+func (m *Move) step(now clock.Milli) int {
+	return int((now - m.grew) / (m.order.Within * stepPart))
+}
+
+// Share is the new version's part of the requests.
+func (m *Move) Share(now clock.Milli) float64 {
+	switch {
+	case m.phase == Succeeded:
+		return 1
+	case m.phase == RolledBack:
+		return 0
+	case m.grew == 0:
+		return trialShare
+	default:
+		return steps[min(m.step(now), len(steps)-1)]
+	}
+}
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/assert"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/config"
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/httpd"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/applog"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/follow"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
@@ -42,8 +43,8 @@
 	guard   *guard.Guard
 	entry   *entry.Entry
 	peers   *peerServer
-	public  *httpServer
-	admin   *httpServer
+	public  *httpd.Server
+	admin   *httpd.Server
 	ready   readiness
 	fleet   *fleet
 	seeds   *seeds
@@ -91,7 +92,7 @@
 	d.guard = guard.New(d.self, d.cfg.Listen.Upstream, d.clock,
 		guard.WithLogger(d.log), guard.WithGate(rules.check), guard.WithStarted(rules.started),
 		guard.WithSample(func(s guard.Sample) { counts.add(d.clock.Now(), s, d.guard.View().Cold) }))
-	d.entry = entry.New(d.self, d.clock, d.pool, d.fleet, rules, entry.WithLogger(d.log), entry.WithRecord(d.explain.record))
+	d.entry = entry.New(d.self, d.clock, d.pool, d.fleet, rules, entry.WithLogger(d.log), entry.WithPolicy(d.conf.Config), entry.WithRecord(d.explain.record))
 	d.mover = &mover{
 		self: d.self, clock: d.clock, log: d.log, control: d.control(), conf: d.conf, fleet: d.fleet,
 		guard: d.guard, counts: counts, rules: rules, store: d.explain.store,
@@ -157,8 +158,8 @@
 		set  func(net.Listener)
 	}{
 		{d.cfg.Listen.Peer, func(l net.Listener) { d.peers.listener = l }},
-		{d.cfg.Listen.Entry, func(l net.Listener) { d.public.listener = l }},
-		{d.cfg.Listen.Admin, func(l net.Listener) { d.admin.listener = l }},
+		{d.cfg.Listen.Entry, func(l net.Listener) { d.public.Listener = l }},
+		{d.cfg.Listen.Admin, func(l net.Listener) { d.admin.Listener = l }},
 	} {
 		ln, err := net.Listen("tcp", l.addr)
 		if err != nil {
--- a/internal/node/daemon/rules.go
+++ b/internal/node/daemon/rules.go
@@ -26,7 +26,7 @@
 	return r
 }
 
-// Config implements entry.Rules.
+// Config returns the configuration in force.
 func (r *rules) Config() *policy.Config {
 	return r.config()
 }
--- a/internal/node/daemon/servers.go
+++ b/internal/node/daemon/servers.go
@@ -6,17 +6,13 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync/atomic"
-	"time"
 
 	"github.com/justinas/alice"
-	"github.com/pkg/errors"
-	"golang.org/x/net/netutil"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/admin/auth"
 	"gitlab.com/cranberrytack/cranberrytack/internal/admin/server"
-	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/config"
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/httpd"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 )
 
@@ -31,44 +27,9 @@
 	return p.server.Serve(ctx, p.listener)
 }
 
-// httpServer runs an HTTP server under the supervisor.
-type httpServer struct {
-	server   *http.Server
-	listener net.Listener
-	limit    int
-	closing  atomic.Bool
-}
-
-// Serve implements suture.Service.
-func (h *httpServer) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = h.server.Close() })
-	defer stop()
-	err := h.server.Serve(netutil.LimitListener(h.listener, h.limit))
-	if h.closing.Load() || errors.Is(err, http.ErrServerClosed) {
-		// A graceful stop closed the server; the supervisor must not restart it.
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	return err
-}
-
-// acceptedWithin is how long a request may be under way on a connection that
-// was accepted just before the listener closed.
-const acceptedWithin = 500 * clock.Millisecond
-
-// stop ends the server after all requests. The listener closes first:
-// http.Server.Shutdown drops a request that it reads at the same moment, so
-// the requests of connections that were just accepted must be read before.
-func (h *httpServer) stop(ctx context.Context) error {
-	h.closing.Store(true)
-	_ = h.listener.Close()
-	time.Sleep(acceptedWithin.Duration())
-	return h.server.Shutdown(ctx)
-}
-
-func newPublicServer(cfg config.Config, handler http.Handler, ready *readiness) *httpServer {
+func newPublicServer(cfg config.Config, handler http.Handler, ready *readiness) *httpd.Server {
 	chain := alice.New(ready.closeWhenStopping)
-	return &httpServer{server: baseServer(cfg, chain.Then(handler)), limit: cfg.Limits.Callers}
+	return &httpd.Server{HTTP: baseServer(cfg, chain.Then(handler)), Connections: cfg.Limits.Callers}
 }
 
 // closeWhenStopping asks callers to close their connection with the answer, so
@@ -91,7 +52,7 @@
 	}
 }
 
-func newAdminServer(cfg config.Config, d *Daemon) *httpServer {
+func newAdminServer(cfg config.Config, d *Daemon) *httpd.Server {
 	keeper := auth.New(d.conf.Config, d.clock, cfg.Admin.BootstrapHash)
 	api := server.New(d.conf, keeper, d.clock,
 		server.WithLogger(d.log),
@@ -99,7 +60,7 @@
 		server.WithExplain(d.explain),
 		server.WithMoves(d.mover),
 		server.WithReady(d.ready.check))
-	return &httpServer{server: baseServer(cfg, api.Handler()), limit: cfg.Limits.Callers}
+	return &httpd.Server{HTTP: baseServer(cfg, api.Handler()), Connections: cfg.Limits.Callers}
 }
 
 // Members implements server.Members.
--- a/internal/node/daemon/stop.go
+++ b/internal/node/daemon/stop.go
@@ -44,7 +44,7 @@
 	d.guard.Leave()
 	d.fleet.shell.Leave()
 	time.Sleep(d.cfg.Stop.Notice.Duration())
-	entryErr := d.public.stop(ctx)
+	entryErr := d.public.Stop(ctx)
 	left := d.guard.Drain(ctx)
 	d.fleet.shell.Gone(ctx)
 	time.Sleep(linger.Duration())
--- /dev/null
+++ b/internal/node/mesh/moves.go
@@ -0,0 +1,310 @@
+package mesh
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
+	"gitlab.com/cranberrytack/cranberrytack/internal/moves/canary"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+const (
+	// stepInterval is the time between looks at the evidence.
+	stepInterval = 100 * clock.Millisecond
+	// turn is how long a daemon waits for each one before it, in order of ids,
+	// to write the end of a move.
+	turn = 700 * clock.Millisecond
+	// statusTimeout bounds the calls that write a status.
+	statusTimeout = clock.Second
+	// statusRetry is the pause after a failure to write a status.
+	statusRetry = 500 * clock.Millisecond
+)
+
+// writtenBit marks a phase whose status is known to be in the store.
+const writtenBit = 4
+
+// moveState is one move and what this daemon did about it.
+type moveState struct {
+	move *canary.Move
+	// ended is when the phase became final here.
+	ended clock.Milli
+	// written says that the store has the final status.
+	written bool
+	tried   clock.Milli
+}
+
+// moves follow the version moves that operators ordered.
+type moves struct {
+	self     string
+	clock    clock.Clock
+	log      zerolog.Logger
+	platform Platform
+	table    *peers.Table
+	// push tells all peers about an ended move.
+	push func()
+
+	mu       sync.Mutex
+	services map[string]*moveState
+	// accepted has the versions of a service that get calls without an order.
+	accepted map[string]string
+	// restored is set once the statuses of earlier daemons were read.
+	restored bool
+}
+
+// ordered takes in the orders in force.
+func (m *moves) ordered(o *order.Orders) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for service, ord := range o.Moves {
+		old := m.services[service]
+		if old != nil && old.move.Order().Offset >= ord.Offset {
+			continue
+		}
+		m.services[service] = &moveState{move: canary.New(ord)}
+		m.log.Info().Str("service", service).Str("version", ord.Version).
+			Float64("within_ms", float64(ord.Within)).Msg("version_move_ordered")
+	}
+}
+
+// active reports whether a move of the service runs.
+func (m *moves) active(service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[service]
+	return s != nil && s.move.Phase() == canary.Running
+}
+
+// versions returns how the requests of a service are spread, nil if all
+// upstreams may serve them.
+func (m *moves) versions(now clock.Milli, service string) *versions {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[service]
+	if s == nil {
+		return nil
+	}
+	return &versions{
+		to: s.move.Order().Version, share: s.move.Share(now), final: s.move.Phase() != canary.Running,
+	}
+}
+
+// observe takes in the counts that came with a view.
+func (m *moves) observe(t *call.Target, v *call.View) {
+	if len(v.Tallies) == 0 {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.services[t.Service]; s != nil {
+		s.move.Observe(t.ID, v.Incarnation, t.Version, v.Tallies)
+	}
+}
+
+// Serve implements suture.Service.
+func (m *moves) Serve(ctx context.Context) error {
+	return m.run(ctx)
+}
+
+func (m *moves) run(ctx context.Context) error {
+	t := time.NewTicker(stepInterval.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+		m.recall(ctx)
+		now := m.clock.Now()
+		if m.step(now) {
+			m.push()
+		}
+		for _, s := range m.due(now) {
+			m.write(ctx, s)
+		}
+	}
+}
+
+// recall reads once how moves ended that are older than this daemon.
+func (m *moves) recall(ctx context.Context) {
+	m.mu.Lock()
+	due := !m.restored && len(m.services) > 0
+	m.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
+	defer cancel()
+	if err := m.restore(ctx); err != nil {
+		m.log.Warn().Err(err).Msg("statuses_not_read")
+		pauseFor(ctx, statusRetry)
+		return
+	}
+	m.mu.Lock()
+	m.restored = true
+	m.mu.Unlock()
+}
+
+func pauseFor(ctx context.Context, d clock.Milli) {
+	t := time.NewTimer(d.Duration())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// step reports whether a move ended.
+func (m *moves) step(now clock.Milli) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ended := false
+	for service, s := range m.services {
+		if s.move.Step(now) {
+			s.ended, ended = now, true
+			m.report(service, s)
+		}
+	}
+	return ended
+}
+
+// report logs the end of a move.
+func (m *moves) report(service string, s *moveState) {
+	m.log.Info().Str("service", service).Str("version", s.move.Order().Version).
+		Str("phase", s.move.Phase().String()).Str("why", s.move.Why()).Msg("version_move_ended")
+}
+
+// due returns the ended moves whose status this daemon should write now.
+func (m *moves) due(now clock.Milli) []*moveState {
+	live := m.table.Live()
+	rank, _ := slices.BinarySearch(live, m.self)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*moveState
+	for _, s := range m.services {
+		if s.move.Phase() == canary.Running || s.written || now-s.tried < statusRetry {
+			continue
+		}
+		if now-s.ended >= clock.Milli(rank)*turn {
+			s.tried = now
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// write puts the end of a move into the store, unless it is there.
+func (m *moves) write(ctx context.Context, s *moveState) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
+	defer cancel()
+	m.mu.Lock()
+	ord, phase := s.move.Order(), s.move.Phase()
+	m.mu.Unlock()
+	err := m.writeStatus(ctx, ord, phase)
+	if err != nil {
+		m.log.Warn().Str("service", ord.Service).Str("phase", phase.String()).Err(err).Msg("status_not_written")
+		return
+	}
+	m.log.Info().Str("service", ord.Service).Str("phase", phase.String()).Msg("status_written")
+	m.mu.Lock()
+	s.written = true
+	m.mu.Unlock()
+	m.push()
+}
+
+func (m *moves) writeStatus(ctx context.Context, ord order.Move, phase canary.Phase) error {
+	topic := m.platform.Topics().Status
+	b, err := m.platform.Store().Newest(ctx, topic)
+	if err != nil {
+		return err
+	}
+	key := m.platform.StatusKey(ord.Service)
+	for _, item := range b.Items {
+		if item.Key != key {
+			continue
+		}
+		version, p, err := m.platform.DecodeStatus(item.Value)
+		if err == nil && version == ord.Version && p != canary.Running {
+			return nil
+		}
+	}
+	value, err := m.platform.EncodeStatus(ord.Version, phase)
+	if err != nil {
+		return err
+	}
+	_, err = m.platform.Store().Append(ctx, topic, feed.Item{Key: key, Value: value}, b.End)
+	return err
+}
+
+// restore takes over the statuses that the store has, after a start.
+func (m *moves) restore(ctx context.Context) error {
+	b, err := m.platform.Store().Newest(ctx, m.platform.Topics().Status)
+	if err != nil {
+		return errors.Wrap(err, "read statuses")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for service, s := range m.services {
+		for _, item := range b.Items {
+			if item.Key != m.platform.StatusKey(service) {
+				continue
+			}
+			version, p, err := m.platform.DecodeStatus(item.Value)
+			if err != nil {
+				m.log.Warn().Str("key", item.Key).Err(err).Msg("status_unreadable")
+				continue
+			}
+			if version == s.move.Order().Version && s.move.Settle(p, "found in the store") {
+				s.written = true
+				m.report(service, s)
+			}
+		}
+	}
+	return nil
+}
+
+// encode returns what peers are told.
+func (m *moves) encode(now clock.Milli) []*wire.MoveState {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]*wire.MoveState, 0, len(m.services))
+	for service, s := range m.services {
+		phase := uint32(s.move.Phase())
+		if s.written {
+			phase |= writtenBit
+		}
+		ord := s.move.Order()
+		out = append(out, &wire.MoveState{Service: service, Offset: ord.Offset, AgeMs: float64(now - ord.Seen), Phase: phase})
+	}
+	return out
+}
+
+// merge takes in what a peer told. It reports whether a move ended by it.
+func (m *moves) merge(now clock.Milli, in []*wire.MoveState) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ended := false
+	for _, w := range in {
+		s := m.services[w.GetService()]
+		if s == nil || s.move.Order().Offset != w.GetOffset() {
+			continue
+		}
+		s.move.Started(now - clock.Milli(w.GetAgeMs()))
+		if s.move.Settle(canary.Phase(w.GetPhase()&^writtenBit), "told by a peer") {
+			s.ended, ended = now, true
+			m.report(w.GetService(), s)
+		}
+		s.written = s.written || w.GetPhase()&writtenBit != 0
+	}
+	return ended
+}
--- /dev/null
+++ b/internal/node/mesh/node.go
@@ -0,0 +1,231 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/assert"
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/httpd"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/beat"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/entry"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/guard"
+	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
+)
+
+// ErrListen says that an address of the settings can't be used.
+var ErrListen = errors.New("listen failed")
+
+// fleetName keeps daemons of other systems away.
+const fleetName = "mesh"
+
+// restoreTimeout bounds the wait for what the store has of an earlier daemon at
+// the same address.
+const restoreTimeout = 800 * clock.Millisecond
+
+// Node is one running daemon.
+type Node struct {
+	settings Settings
+	platform Platform
+	clock    clock.Clock
+	log      zerolog.Logger
+	self     call.Target
+	pool     *link.Pool
+	table    *peers.Table
+	book     *order.Book
+	moves    *moves
+	upstream *upstream
+	guard    *guard.Guard
+	entry    *entry.Entry
+	announce *announcer
+	links    *links
+	share    *sharer
+	orders   *feed.Follower
+	members  *feed.Follower
+	health   *health
+	peer     *peerServer
+	callers  *httpd.Server
+	control  *httpd.Server
+	probes   *httpd.Server
+	state    state
+}
+
+// New builds a daemon and opens its listeners. It waits a short time for the
+// store.
+func New(s Settings, p Platform, log zerolog.Logger) (*Node, error) {
+	clk := clock.NewReal()
+	assert.SetLogger(log)
+	n := &Node{settings: s, platform: p, clock: clk, log: log, table: peers.New(s.Listen.Peer)}
+	stored, from := n.restore()
+	own := stored.own(s.Listen.Peer)
+	n.self = call.Target{
+		ID: s.Listen.Peer, Incarnation: max(uint64(clk.Now()), own.Incarnation+1),
+		Service: s.Service, Centre: s.Centre, Region: s.Region,
+	}
+	n.build(own)
+	n.table.Merge(stored...)
+	n.members = feed.NewFollower(p.Store(), p.Topics().Peers, peerSink{table: n.table, log: log, found: n.found}, log, feed.WithFrom(from))
+	n.serve()
+	return n, n.listen()
+}
+
+// stored are the records that the store had at the start.
+type stored []peers.Record
+
+func (s stored) own(id string) peers.Record {
+	for _, r := range s {
+		if r.ID == id {
+			return r
+		}
+	}
+	return peers.Record{}
+}
+
+// restore reads what the store has of all daemons, and where to go on from.
+func (n *Node) restore() (out stored, from int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), restoreTimeout.Duration())
+	defer cancel()
+	b, err := n.platform.Store().Newest(ctx, n.platform.Topics().Peers)
+	if err != nil {
+		n.log.Warn().Err(err).Msg("start_without_store")
+		return nil, feed.Unread
+	}
+	for _, i := range b.Items {
+		r, err := peers.Unmarshal(i.Value)
+		if err != nil || r.ID != i.Key {
+			n.log.Warn().Str("key", i.Key).Err(err).Msg("peer_record_unreadable")
+			continue
+		}
+		out = append(out, r)
+	}
+	return out, b.End
+}
+
+// build makes the parts that calls pass.
+func (n *Node) build(own peers.Record) {
+	s, p := n.settings, n.platform
+	n.pool = link.NewPool(n.identity(), n.clock, link.WithTiming(linkTiming))
+	n.book = order.NewBook(p.DecodeOrder, n.clock, n.log)
+	n.moves = &moves{
+		self: n.self.ID, clock: n.clock, log: n.log, platform: p, table: n.table,
+		services: make(map[string]*moveState),
+	}
+	n.book.Subscribe(n.moves.ordered)
+	n.upstream = newUpstream(n.clock, n.log)
+	n.upstream.service = n.ownService
+	n.upstream.counted = func() bool { return n.moves.active(s.Service) }
+	n.upstream.changed = n.upstreamChanged
+	n.restoreUpstream(own)
+	n.guard = guard.New(n.self, s.Upstream, n.clock,
+		guard.WithLogger(n.log), guard.WithAdmitter(n.upstream), guard.WithGate(n.gate),
+		guard.WithProtocol(p.Upstream(n.upstream.instance, n.upstream.misdirected)),
+		guard.WithIdleTimeout(upstreamIdle), guard.WithFailed(n.upstreamFailed))
+	n.entry = entry.New(n.self, n.clock, n.pool, n.table, &rules{book: n.book, moves: n.moves},
+		entry.WithLogger(n.log), entry.WithProtocol(p.Callers(n.routes)), entry.WithUnserved(call.ReasonNoTarget),
+		entry.WithPicker(newPicker), entry.WithRetry(newRetrier), entry.WithProbeRate(0), entry.WithViews(n.moves.observe))
+	record := peers.Record{
+		ID: n.self.ID, Incarnation: n.self.Incarnation, Seq: 1,
+		Centre: s.Centre, Region: s.Region, Service: s.Service,
+	}
+	n.announce = newAnnouncer(record, n.clock, n.log, p.Store(), p.Topics().Peers, n.table)
+}
+
+// restoreUpstream takes over what an earlier daemon knew of the upstream. It is
+// used only after a health check confirmed the instance.
+func (n *Node) restoreUpstream(own peers.Record) {
+	if own.Upstream == "" {
+		return
+	}
+	u := beat.Upstream{Instance: own.Upstream, Version: own.Version, Slots: own.Slots, Leaving: own.Leaving}
+	n.upstream.keeper.Restore(u)
+}
+
+func (n *Node) identity() link.Identity {
+	return link.Identity{Fleet: fleetName, Member: n.self.ID, Incarnation: n.self.Incarnation}
+}
+
+// serve makes the parts that run in the background.
+func (n *Node) serve() {
+	p := n.platform
+	n.orders = feed.NewFollower(p.Store(), p.Topics().Orders, orderSink{book: n.book}, n.log)
+	n.share = &sharer{
+		clock: n.clock, log: n.log, pool: n.pool, table: n.table, book: n.book, moves: n.moves,
+		orders: n.orders, self: n.announce.record,
+	}
+	n.moves.push = func() { n.share.push(context.Background()) }
+	n.links = newLinks(n.self.ID, n.clock, n.log, n.pool, n.table)
+	n.links.opened = n.share.compare
+	n.health = &health{clock: n.clock, log: n.log, platform: p, addr: n.settings.Upstream, upstream: n.upstream, service: n.ownService}
+	n.peer = &peerServer{server: link.NewServer(n.identity(), n.clock,
+		link.WithLogger(n.log), link.WithCalls(n.guard.Handle), link.WithMet(n.links.meet),
+		link.WithControl(controlShare, n.share.serve))}
+	n.callers = newServer(n.state.closeWhenStopping(n.entry))
+	n.control = newServer(p.Control(n))
+	n.probes = newServer(p.Ready(n.ready))
+}
+
+// found logs daemons that became known.
+func (n *Node) found(records []peers.Record) {
+	for i := range records {
+		r := &records[i]
+		n.log.Info().Str("peer", r.ID).Str("service", r.Service).Str("centre", r.Centre).Str("version", r.Version).
+			Str("upstream", r.Upstream).Bool("leaving", r.Leaving).Bool("gone", r.Gone).Msg("peer_announced")
+	}
+}
+
+func (n *Node) listen() error {
+	for _, l := range []struct {
+		addr string
+		set  func(net.Listener)
+	}{
+		{n.settings.Listen.Peer, func(l net.Listener) { n.peer.listener = l }},
+		{n.settings.Listen.Callers, func(l net.Listener) { n.callers.Listener = l }},
+		{n.settings.Listen.Control, func(l net.Listener) { n.control.Listener = l }},
+		{n.settings.Listen.Ready, func(l net.Listener) { n.probes.Listener = l }},
+	} {
+		ln, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return errors.Wrap(ErrListen, err.Error())
+		}
+		l.set(ln)
+	}
+	return nil
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	sup := suture.New("mesh", suture.Spec{
+		EventHook: func(e suture.Event) { n.log.Warn().Str("detail", e.String()).Msg("supervisor") },
+		Timeout:   time.Second,
+	})
+	for _, s := range []suture.Service{
+		n.peer, n.callers, n.control, n.probes, n.guard, n.orders, n.members, n.links, n.share, n.announce, n.health, n.moves,
+	} {
+		sup.Add(s)
+	}
+	runCtx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := sup.ServeBackground(runCtx)
+	n.log.Info().Str("name", n.settings.Name).Str("member", n.self.ID).Str("service", n.self.Service).
+		Str("centre", n.self.Centre).Uint64("incarnation", n.self.Incarnation).Int("pid", os.Getpid()).Msg("daemon_started")
+	select {
+	case <-ctx.Done():
+	case err := <-done:
+		return errors.Wrap(err, "supervisor ended")
+	}
+	err := n.stop()
+	cancel()
+	<-done
+	n.pool.Close()
+	return err
+}
--- /dev/null
+++ b/internal/node/mesh/sinks.go
@@ -0,0 +1,63 @@
+package mesh
+
+import (
+	"github.com/rs/zerolog"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
+)
+
+// orderSink passes the operators' records to the book.
+type orderSink struct {
+	book *order.Book
+}
+
+// Replace implements feed.Sink.
+func (s orderSink) Replace(items []feed.Item, end int64) {
+	s.book.Replace(records(items), end)
+}
+
+// Apply implements feed.Sink.
+func (s orderSink) Apply(items []feed.Item, end int64) {
+	s.book.Apply(records(items), end)
+}
+
+func records(items []feed.Item) []order.Record {
+	out := make([]order.Record, 0, len(items))
+	for _, i := range items {
+		out = append(out, order.Record{Key: i.Key, Value: i.Value, Offset: i.Offset, Removed: i.Removed})
+	}
+	return out
+}
+
+// peerSink passes the records of daemons to the table.
+type peerSink struct {
+	table *peers.Table
+	log   zerolog.Logger
+	// found is called with the records that were new.
+	found func([]peers.Record)
+}
+
+// Replace implements feed.Sink. What the topic lacks may have been written
+// later than it was read, so nothing is forgotten.
+func (s peerSink) Replace(items []feed.Item, end int64) {
+	s.Apply(items, end)
+}
+
+// Apply implements feed.Sink.
+func (s peerSink) Apply(items []feed.Item, _ int64) {
+	in := make([]peers.Record, 0, len(items))
+	for _, i := range items {
+		if i.Removed {
+			continue
+		}
+		r, err := peers.Unmarshal(i.Value)
+		if err != nil || r.ID != i.Key {
+			s.log.Warn().Str("key", i.Key).Err(err).Msg("peer_record_unreadable")
+			continue
+		}
+		in = append(in, r)
+	}
+	s.found(s.table.Merge(in...))
+}
--- a/internal/path/entry/attempt.go
+++ b/internal/path/entry/attempt.go
@@ -80,6 +80,9 @@
 		Hedge:            a.hedge,
 		EntryCentre:      t.entry.self.Centre,
 		Trailers:         t.body.trailers,
+		Rank:             uint32(r.Rank),
+		Aim:              float64(r.Aim),
+		Label:            r.Label,
 	}
 	if t.body.complete {
 		c.Body = t.body.head
--- a/internal/path/entry/entry.go
+++ b/internal/path/entry/entry.go
@@ -11,11 +11,10 @@
 	"github.com/rs/zerolog"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
-	"gitlab.com/cranberrytack/cranberrytack/internal/conf/policy"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	core "gitlab.com/cranberrytack/cranberrytack/internal/core/probe"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/pick"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/retry"
-	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 )
 
@@ -30,8 +29,6 @@
 
 // Rules decide beyond the picker which targets a request may use.
 type Rules interface {
-	// Config returns the configuration in force.
-	Config() *policy.Config
 	// Allow returns a filter for the targets of a request and the reason that
 	// it applies, or nil.
 	Allow(now clock.Milli, r *call.Request) (func(*call.Target) bool, call.Reason)
@@ -53,6 +50,8 @@
 	// Retried says that the retries of the call are spent.
 	Retried bool
 	Latency clock.Milli
+	// RetryAfter is when a refused call may find room.
+	RetryAfter clock.Milli
 }
 
 // Entry serves callers. It is safe for concurrent use.
@@ -68,6 +67,10 @@
 	probes    *probes
 	probeRate float64
 	record    func(Decision)
+	protocol  Protocol
+	unserved  call.Reason
+	viewed    func(*call.Target, *call.View)
+	pickers   func(*rand.Rand) Picker
 	mu        sync.RWMutex
 	services  map[string]*service
 	idMu      sync.Mutex
@@ -87,6 +90,11 @@
 	return func(e *Entry) { e.record = f }
 }
 
+// WithViews sets the receiver of the views that come with responses.
+func WithViews(f func(*call.Target, *call.View)) Option {
+	return func(e *Entry) { e.viewed = f }
+}
+
 // WithRetry replaces the source of retry policies, one for each service.
 func WithRetry(f func() Retrier) Option {
 	return func(e *Entry) { e.retrier = f }
@@ -110,6 +118,10 @@
 		retrier:   func() Retrier { return retry.New() },
 		probeRate: core.Rate,
 		record:    func(Decision) {},
+		protocol:  ownProtocol{config: defaultPolicy},
+		unserved:  call.ReasonUnknownService,
+		viewed:    func(*call.Target, *call.View) {},
+		pickers:   func(r *rand.Rand) Picker { return pick.New(r) },
 		services:  make(map[string]*service),
 	}
 	for _, o := range opts {
@@ -123,15 +135,14 @@
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	now := e.clock.Now()
-	r, reason := e.parse(hr, now)
-	w.Header().Set(header.RequestID, r.ID.String())
-	if reason != call.ReasonNone {
+	r := &call.Request{ID: e.newID(), Method: hr.Method}
+	if reason := e.protocol.Parse(hr, r, now); reason != call.ReasonNone {
 		e.reject(w, r, reason)
 		return
 	}
 	svc := e.service(r.Service)
 	if svc.empty(now, e.roster) {
-		e.reject(w, r, call.ReasonUnknownService)
+		e.reject(w, r, e.unserved)
 		return
 	}
 	if hr.ContentLength != 0 {
@@ -164,7 +175,7 @@
 	if s = e.services[name]; s != nil {
 		return s
 	}
-	s = newService(name, rand.New(rand.NewPCG(e.seed, uint64(len(e.services))+1)), e.retrier())
+	s = newService(name, e.pickers(rand.New(rand.NewPCG(e.seed, uint64(len(e.services))+1))), e.retrier())
 	// An unknown service is not kept, so that callers can't grow the map.
 	if len(e.roster.Targets(name)) > 0 {
 		e.services[name] = s
@@ -174,28 +185,15 @@
 
 // reject answers a request that was not tried.
 func (e *Entry) reject(w http.ResponseWriter, r *call.Request, reason call.Reason) {
-	status := http.StatusServiceUnavailable
-	switch reason {
-	case call.ReasonBadRequest, call.ReasonTooDeep:
-		status = http.StatusBadRequest
-	case call.ReasonUnknownService:
-		status = http.StatusNotFound
-	default:
-	}
-	e.finish(w, Decision{At: e.clock.Now(), Request: r, Outcome: call.NotRun, Reason: reason, Status: status})
+	e.finish(w, Decision{At: e.clock.Now(), Request: r, Outcome: call.NotRun, Reason: reason}, false)
 }
 
-// finish answers a call that has no response of an upstream.
-func (e *Entry) finish(w http.ResponseWriter, d Decision) {
-	h := w.Header()
-	h.Set(header.Outcome, d.Outcome.String())
-	h.Set(header.Reason, d.Reason.String())
-	if d.Outcome == call.NotRun && d.Status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", "1")
-	}
-	if d.Retried {
-		h.Set(header.Retried, "1")
-	}
+// finish answers a call that has no response of an upstream. Overdue says that
+// its deadline has passed.
+func (e *Entry) finish(w http.ResponseWriter, d Decision, overdue bool) {
+	d.RetryAfter = e.retryAfter(&d)
+	d.Status = e.protocol.Status(&d, overdue)
+	e.protocol.Refused(w.Header(), &d)
 	http.Error(w, "request "+d.Request.ID.String()+" "+d.Outcome.String()+": "+d.Reason.String(), d.Status)
 	e.note(d)
 }
@@ -205,6 +203,9 @@
 	ev := e.log.Info().Str("request", d.Request.ID.String()).Str("service", d.Request.Service).
 		Str("route", d.Request.Route).Str("outcome", d.Outcome.String()).Str("reason", d.Reason.String()).
 		Int("status", d.Status).Int("attempts", d.Attempts).Float64("ms", float64(d.Latency))
+	if d.Request.Label != "" {
+		ev = ev.Str("label", d.Request.Label)
+	}
 	if d.Target != nil {
 		ev = ev.Str("target", d.Target.ID).Str("centre", d.Target.Centre).Str("choice", d.Choice.String())
 	}
--- a/internal/path/entry/hedge.go
+++ b/internal/path/entry/hedge.go
@@ -32,7 +32,7 @@
 // hedged prepares a hedge of the attempt if the call may have one. The
 // returned context is that of the first attempt.
 func (t *tries) hedged(ctx context.Context, a *attempt) (*hedge, context.Context) {
-	if !t.request.Repeatable || !t.body.complete {
+	if !t.request.Repeatable || !t.body.complete || t.request.Attempts == 1 {
 		return nil, ctx
 	}
 	after, ok := t.service.hedgeAfter(a.began, retry.Attempt{Request: t.request, Number: t.attempts, Started: a.began})
@@ -64,7 +64,7 @@
 	won := h.winner == a
 	h.mu.Unlock()
 	if !won {
-		h.tries.service.done(h.tries.entry.clock.Now(), a.target.ID, res)
+		h.tries.done(h.tries.entry.clock.Now(), &a.target, res)
 		a.close()
 	}
 }
@@ -108,6 +108,7 @@
 	h.mu.Unlock()
 	if second != nil {
 		t.attempts++
+		t.ran++
 		t.tried = append(t.tried, second.target.ID)
 	}
 	if winner == h.first || second == nil {
@@ -117,7 +118,7 @@
 	if started {
 		<-h.done
 	}
-	t.service.done(t.entry.clock.Now(), h.first.target.ID, res)
+	t.done(t.entry.clock.Now(), &h.first.target, res)
 	h.first.close()
 	if res.Outcome == call.Unknown {
 		t.unknown = true
--- a/internal/path/entry/parse.go
+++ b/internal/path/entry/parse.go
@@ -14,14 +14,13 @@
 // maxTimeout bounds what a caller may ask for.
 const maxTimeout = 10 * clock.Minute
 
-// parse reads what the system needs to know of a request. The returned
-// request always has an id.
-func (e *Entry) parse(hr *http.Request, now clock.Milli) (*call.Request, call.Reason) {
-	r := &call.Request{ID: e.newID(), Method: hr.Method, Service: serviceName(hr)}
+// Parse implements Protocol.
+func (p ownProtocol) Parse(hr *http.Request, r *call.Request, now clock.Milli) call.Reason {
+	r.Service = serviceName(hr)
 	if r.Service == "" || hr.Method == http.MethodConnect || hr.Header.Get("Upgrade") != "" {
-		return r, call.ReasonBadRequest
+		return call.ReasonBadRequest
 	}
-	route := e.rules.Config().RouteAt(r.Service, hr.Method, hr.URL.Path, now)
+	route := p.config().RouteAt(r.Service, hr.Method, hr.URL.Path, now)
 	r.Route = route.Name
 	r.Class = route.Class
 	r.Repeatable = *route.Repeatable
@@ -29,12 +28,12 @@
 	if v := hr.Header.Get(header.TimeoutMs); v != "" {
 		ms, err := strconv.ParseFloat(v, 64)
 		if err != nil || ms <= 0 || ms > float64(maxTimeout) {
-			return r, call.ReasonBadRequest
+			return call.ReasonBadRequest
 		}
 		timeout = clock.Milli(ms)
 	}
 	r.Deadline = now + timeout
-	return r, readChain(hr, r)
+	return readChain(hr, r)
 }
 
 // readChain reads the headers that a service passes on from call to call.
--- a/internal/path/entry/service.go
+++ b/internal/path/entry/service.go
@@ -22,21 +22,38 @@
 	Hedged(now clock.Milli)
 }
 
+// Picker chooses the targets of one service. Its methods are never called at
+// the same time.
+type Picker interface {
+	Update(now clock.Milli, targets []call.Target)
+	Observe(now clock.Milli, v call.View)
+	Started(now clock.Milli, id string)
+	Finished(now clock.Milli, id string, r call.Result)
+	Choose(now clock.Milli, q pick.Query) pick.Choice
+	// Probe returns the target whose view most needs to be renewed.
+	Probe(now clock.Milli) (string, bool)
+}
+
+// WithPicker replaces the source of pickers, one for each service.
+func WithPicker(f func(*rand.Rand) Picker) Option {
+	return func(e *Entry) { e.pickers = f }
+}
+
 // service is the state of the entry for one service. Its lock guards the
 // decision types, which are not safe for concurrent use.
 type service struct {
 	name string
 
 	mu      sync.Mutex
-	picker  *pick.Picker
+	picker  Picker
 	retry   Retrier
 	loaded  bool
 	version uint64
 	count   int
 }
 
-func newService(name string, r *rand.Rand, policy Retrier) *service {
-	return &service{name: name, picker: pick.New(r), retry: policy}
+func newService(name string, p Picker, policy Retrier) *service {
+	return &service{name: name, picker: p, retry: policy}
 }
 
 // empty loads the targets and reports whether there is none.
--- a/internal/path/entry/tries.go
+++ b/internal/path/entry/tries.go
@@ -10,7 +10,6 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/pick"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/retry"
-	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 )
 
 // graceAfterDeadline is how long the entry waits after the deadline for the
@@ -28,7 +27,9 @@
 	body    *body
 
 	attempts int
-	tried    []string
+	// ran counts the attempts that may have run the request.
+	ran   int
+	tried []string
 	// unknown is set when an attempt may have run the request; it stays set,
 	// whatever later attempts prove of themselves.
 	unknown bool
@@ -82,19 +83,30 @@
 	}
 	t.target, t.choice = &a.target, a.choice
 	now = t.entry.clock.Now()
-	v = t.service.decide(now, retry.Attempt{Request: t.request, Result: res, Number: t.attempts, Started: t.began})
+	if res.Outcome != call.NotRun {
+		t.ran++
+	}
+	v = t.service.decide(now, retry.Attempt{Request: t.request, Result: res, Number: t.attempts, Ran: t.ran, Started: t.began})
 	if a.head != nil && !(v.Retry && t.another(now)) {
 		a.reply(res)
 		return res, v, true
 	}
 	if !a.hedge || a.head != nil {
-		t.service.done(now, a.target.ID, res)
+		t.done(now, &a.target, res)
 		a.close()
 	}
 	t.last = res
 	return res, v, false
 }
 
+// done takes in the end of an attempt.
+func (t *tries) done(now clock.Milli, target *call.Target, res call.Result) {
+	t.service.done(now, target.ID, res)
+	if res.View != nil {
+		t.entry.viewed(target, res.View)
+	}
+}
+
 // another reports whether there is a target that was not tried yet. Only then
 // is a response that reports an error given up for another attempt.
 func (t *tries) another(now clock.Milli) bool {
@@ -176,18 +188,9 @@
 	if t.unknown {
 		out = call.Unknown
 	}
-	now := t.entry.clock.Now()
-	status := http.StatusServiceUnavailable
-	switch {
-	case now >= t.request.Deadline:
-		status = http.StatusGatewayTimeout
-	case out == call.Unknown:
-		status = http.StatusBadGateway
-	case reason == call.ReasonBadRequest:
-		status = http.StatusBadRequest
-	}
+	overdue := t.entry.clock.Now() >= t.request.Deadline
 	t.closeIfUnread()
-	t.entry.finish(t.out, t.decision(out, reason, status))
+	t.entry.finish(t.out, t.decision(out, reason, 0), overdue)
 }
 
 func (t *tries) closeIfUnread() {
@@ -214,10 +217,8 @@
 
 // writeHead starts the response to the caller.
 func (t *tries) writeHead(status int) {
-	h := t.out.Header()
-	h.Set(header.Outcome, call.Answered.String())
-	h.Set(header.Target, t.target.ID)
-	h.Set(header.Version, t.target.Version)
+	d := t.decision(call.Answered, call.ReasonNone, status)
+	t.entry.protocol.Answered(t.out.Header(), &d)
 	t.closeIfUnread()
 	t.out.WriteHeader(status)
 }
--- a/internal/path/guard/admission.go
+++ b/internal/path/guard/admission.go
@@ -11,21 +11,42 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 )
 
-// run lets queued calls time out.
+// run lets queued calls time out. It sleeps while none is queued.
 func (g *Guard) run(ctx context.Context) error {
-	t := time.NewTicker(tickInterval.Duration())
+	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-g.queued:
 		case <-t.C:
-			g.mu.Lock()
-			if len(g.waiting) > 0 {
-				g.deliver(g.admit.Tick(g.clock.Now()))
-			}
-			g.mu.Unlock()
 		}
+		if g.tick() {
+			t.Reset(tickInterval.Duration())
+		}
+	}
+}
+
+// tick reports whether calls still wait.
+func (g *Guard) tick() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.waiting) == 0 {
+		return false
+	}
+	g.deliver(g.admit.Tick(g.clock.Now()))
+	return len(g.waiting) > 0
+}
+
+// wake starts the periodic work. The caller holds the lock.
+func (g *Guard) wake() {
+	if len(g.waiting) == 0 {
+		return
+	}
+	select {
+	case g.queued <- struct{}{}:
+	default:
 	}
 }
 
@@ -40,7 +61,10 @@
 	}
 	g.held[r.ID] = struct{}{}
 	g.waiting[r.ID] = ch
-	g.deliver(g.admit.Offer(g.clock.Now(), admit.Ticket{ID: r.ID, Class: r.Class, Deadline: r.Deadline}))
+	g.deliver(g.admit.Offer(g.clock.Now(), admit.Ticket{
+		ID: r.ID, Class: r.Class, Deadline: r.Deadline, Rank: r.Rank, Aim: r.Aim, Route: r.Route,
+	}))
+	g.wake()
 	g.mu.Unlock()
 	select {
 	case a := <-ch:
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -43,7 +42,7 @@
 		return x.stream.refuse(x.start, outcome(reason), reason, "")
 	}
 	x.handed = g.clock.Now()
-	req, err := g.upstream.request(ctx, &x.trace, x.start, body, x.request, x.handed)
+	req, err := g.upstream.request(ctx, g.protocol, &x.trace, x.start, body, x.request, x.handed)
 	if err != nil {
 		return x.stream.refuse(x.start, call.NotRun, call.ReasonBadRequest, err.Error())
 	}
@@ -55,7 +54,9 @@
 		return x.fail(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	x.observe(resp)
+	if head := x.observe(resp); head.NotRun || head.Invalid != "" {
+		return x.rejected(head)
+	}
 	ok = x.reply(resp)
 	g.sample(Sample{Request: x.request, Status: x.status, Failed: x.result.Failed, Latency: x.result.Latency})
 	return ok
@@ -73,14 +74,25 @@
 	return x.body, err == nil
 }
 
-func (x *exchange) observe(resp *http.Response) {
+func (x *exchange) observe(resp *http.Response) Response {
 	x.status = resp.StatusCode
+	head := x.stream.guard.protocol.Response(resp, x.request)
 	x.result.Latency = x.stream.guard.clock.Now() - x.handed
 	x.result.Failed = resp.StatusCode >= http.StatusInternalServerError
 	x.result.NewConnection = !x.trace.reused.Load()
-	if e, err := strconv.ParseUint(resp.Header.Get(header.Epoch), 10, 64); err == nil {
-		x.result.Epoch = e
-	}
+	x.result.Epoch, x.result.Load = head.Epoch, head.Load
+	return head
+}
+
+// rejected reports a response that is no answer to the call.
+func (x *exchange) rejected(head Response) bool {
+	if head.NotRun {
+		x.result.NotRun, x.result.Failed = true, false
+		return x.stream.refuse(x.start, call.NotRun, call.ReasonShed, "") && x.bodyDone()
+	}
+	x.result.Failed = true
+	x.stream.guard.sample(Sample{Request: x.request, Failed: true, Latency: x.result.Latency})
+	return x.stream.refuse(x.start, call.Unknown, call.ReasonInvalidAnswer, head.Invalid) && x.bodyDone()
 }
 
 // fail reports a request without a response.
@@ -92,6 +104,10 @@
 	out, reason := call.Unknown, call.ReasonUpstreamFailed
 	if !x.trace.reached() {
 		out, reason = call.NotRun, call.ReasonDialFailed
+		x.result.NotRun = true
+	}
+	if x.result.Failed {
+		g.failed(err)
 	}
 	if ctx.Err() != nil {
 		reason = endReason(ctx)
@@ -118,6 +134,13 @@
 		ContentLength: resp.ContentLength,
 	}
 	end := &wire.ReplyEnd{Id: x.start.GetId()}
+	if g.protocol.Whole() {
+		body, err := readWhole(resp)
+		if err != nil {
+			return x.cut(err)
+		}
+		resp.Body = io.NopCloser(body)
+	}
 	if err := x.send(head, end, resp); err != nil {
 		x.result.Failed = true
 		return false
--- a/internal/path/guard/guard.go
+++ b/internal/path/guard/guard.go
@@ -18,7 +18,7 @@
 )
 
 // tickInterval lets queued calls time out soon after their limit.
-const tickInterval = 2 * clock.Millisecond
+const tickInterval = 4 * clock.Millisecond
 
 // leaveWithin is the bound of the invariant leaving.
 const leaveWithin = 3 * clock.Second
@@ -44,12 +44,16 @@
 	gate     Gate
 	sample   func(Sample)
 	started  func(now clock.Milli, r *call.Request)
+	protocol Protocol
+	failed   func(err error)
 
 	mu      sync.Mutex
 	probes  *probe.Upstream
-	admit   *admit.Admitter
+	admit   Admitter
 	ledger  *ledger.Ledger
 	waiting map[call.ID]chan admit.Action
+	// queued wakes the goroutine that lets calls time out.
+	queued chan struct{}
 	// held has the calls from their offer to the admitter until their end.
 	held    map[call.ID]struct{}
 	leaving bool
@@ -59,9 +63,31 @@
 	idle   chan struct{}
 }
 
+// Admitter decides which calls are handed to the upstream. The guard never
+// calls it concurrently.
+type Admitter interface {
+	Leave()
+	Offer(now clock.Milli, t admit.Ticket) []admit.Action
+	Done(now clock.Milli, id call.ID, r admit.Result) []admit.Action
+	Cancel(now clock.Milli, id call.ID) []admit.Action
+	Tick(now clock.Milli) []admit.Action
+	View(now clock.Milli) call.View
+}
+
 // Option changes a Guard.
 type Option func(*Guard)
 
+// WithFailed sets the receiver of failures to connect to the upstream.
+func WithFailed(f func(err error)) Option {
+	return func(g *Guard) { g.failed = f }
+}
+
+// WithIdleTimeout sets how long a connection to the upstream is kept without a
+// request. It must be shorter than the upstream's own limit.
+func WithIdleTimeout(d clock.Milli) Option {
+	return func(g *Guard) { g.upstream.transport.IdleConnTimeout = d.Duration() }
+}
+
 // WithLogger sets the logger.
 func WithLogger(l zerolog.Logger) Option {
 	return func(g *Guard) { g.log = l }
@@ -84,7 +110,7 @@
 
 // WithAdmitter replaces the admitter, which by default uses the slots of the
 // target.
-func WithAdmitter(a *admit.Admitter) Option {
+func WithAdmitter(a Admitter) Option {
 	return func(g *Guard) { g.admit = a }
 }
 
@@ -98,10 +124,13 @@
 		gate:     func(clock.Milli, *call.Request) call.Reason { return call.ReasonNone },
 		sample:   func(Sample) {},
 		started:  func(clock.Milli, *call.Request) {},
+		protocol: ownProtocol{},
+		failed:   func(error) {},
 		probes:   probe.NewUpstream(probe.PerUpstream),
 		admit:    admit.New(self.Slots),
 		ledger:   ledger.New(),
 		waiting:  make(map[call.ID]chan admit.Action),
+		queued:   make(chan struct{}, 1),
 		held:     make(map[call.ID]struct{}),
 		idle:     make(chan struct{}),
 	}
--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -123,6 +123,11 @@
 		Repeatable: c.GetRepeatable(),
 		Depth:      int(c.GetDepth()),
 		Deadline:   off.Local(clock.Milli(c.GetDeadline())),
+		Rank:       int(c.GetRank()),
+		Label:      c.GetLabel(),
+	}
+	if c.GetAim() > 0 {
+		r.Aim = off.Local(clock.Milli(c.GetAim()))
 	}
 	if g.clock.Now() >= r.Deadline {
 		return nil, call.ReasonDeadline
@@ -131,7 +136,7 @@
 }
 
 func (s *stream) refuse(c *wire.CallStart, out call.Outcome, reason call.Reason, detail string) bool {
-	s.guard.log.Info().Hex("request", c.GetId()).Str("service", c.GetService()).
+	s.guard.log.Info().Hex("request", c.GetId()).Str("label", c.GetLabel()).Str("service", c.GetService()).
 		Str("outcome", out.String()).Str("reason", reason.String()).Str("detail", detail).Msg("call_refused")
 	v := s.guard.View()
 	err := s.link.Send(&wire.Frame{Body: &wire.Frame_Refused{Refused: &wire.Refused{
--- a/internal/path/guard/upstream.go
+++ b/internal/path/guard/upstream.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
-	"strconv"
 	"sync/atomic"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
@@ -145,7 +144,7 @@
 	req.TransferEncoding = []string{"identity"}
 }
 
-func (u *upstream) request(ctx context.Context, t *trace, c *wire.CallStart, body io.ReadCloser, r *call.Request, now clock.Milli) (*http.Request, error) {
+func (u *upstream) request(ctx context.Context, p Protocol, t *trace, c *wire.CallStart, body io.ReadCloser, r *call.Request, now clock.Milli) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
 	req, err := http.NewRequestWithContext(ctx, c.GetMethod(), u.base+c.GetUri(), nil)
 	if err != nil {
@@ -153,12 +152,9 @@
 	}
 	req.Host = c.GetHost()
 	header.Decode(req.Header, c.GetHeaders())
-	req.Header.Set(header.RequestID, r.ID.String())
-	req.Header.Set(header.Depth, strconv.Itoa(r.Depth))
 	// The entry has answered the caller's expectation.
 	req.Header.Del("Expect")
 	setBody(req, c, body)
-	left := max(int(r.Deadline-now), 1)
-	req.Header.Set(header.TimeoutMs, strconv.Itoa(left))
+	p.Request(req.Header, r, r.Deadline-now)
 	return req, nil
 }
--- a/internal/wire/link/pool.go
+++ b/internal/wire/link/pool.go
@@ -13,18 +13,46 @@
 
 // Pool keeps one session per peer address. It is safe for concurrent use.
 type Pool struct {
-	self  Identity
-	clock clock.Clock
-	group singleflight.Group
+	self   Identity
+	clock  clock.Clock
+	timing Timing
+	group  singleflight.Group
 
 	mu       sync.RWMutex
 	sessions map[string]*Session
 	closed   bool
 }
 
+// PoolOption changes a Pool.
+type PoolOption func(*Pool)
+
+// WithTiming sets how soon a silent peer is noticed.
+func WithTiming(t Timing) PoolOption {
+	return func(p *Pool) { p.timing = t }
+}
+
 // NewPool returns an empty pool.
-func NewPool(self Identity, clk clock.Clock) *Pool {
-	return &Pool{self: self, clock: clk, sessions: make(map[string]*Session)}
+func NewPool(self Identity, clk clock.Clock, opts ...PoolOption) *Pool {
+	p := &Pool{self: self, clock: clk, timing: defaultTiming, sessions: make(map[string]*Session)}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
+}
+
+// Connect opens a session to the daemon at addr if there is none. It returns
+// what the daemon said of itself.
+func (p *Pool) Connect(ctx context.Context, addr string) (Peer, error) {
+	s, err := p.session(ctx, addr)
+	if err != nil {
+		return Peer{}, err
+	}
+	return s.Peer(), nil
+}
+
+// Linked reports whether a session to the daemon at addr is open.
+func (p *Pool) Linked(addr string) bool {
+	return p.current(addr) != nil
 }
 
 // Stream returns a stream for calls to the daemon at addr, over the session in
@@ -148,9 +176,9 @@
 	if s := p.current(addr); s != nil {
 		return s, nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout.Duration())
+	ctx, cancel := context.WithTimeout(context.Background(), p.timing.Dial.Duration())
 	defer cancel()
-	s, err := dial(ctx, addr, p.self, p.clock)
+	s, err := dial(ctx, addr, p.self, p.clock, p.timing)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -40,6 +40,7 @@
 	control     map[wire.ControlKind]ControlHandler
 	maxSessions int
 	maxStreams  int64
+	met         func(Peer)
 
 	mu       sync.Mutex
 	sessions map[net.Conn]*Session
@@ -74,6 +75,11 @@
 	return func(s *Server) { s.maxStreams = int64(n) }
 }
 
+// WithMet sets the receiver of the identity of each peer that opens a session.
+func WithMet(f func(Peer)) ServerOption {
+	return func(s *Server) { s.met = f }
+}
+
 // NewServer returns a server.
 func NewServer(self Identity, clk clock.Clock, opts ...ServerOption) *Server {
 	s := &Server{
@@ -83,6 +89,7 @@
 		control:     make(map[wire.ControlKind]ControlHandler),
 		maxSessions: DefaultMaxSessions,
 		maxStreams:  DefaultMaxStreams,
+		met:         func(Peer) {},
 		sessions:    make(map[net.Conn]*Session),
 	}
 	for _, o := range opts {
@@ -160,6 +167,7 @@
 	s.mu.Lock()
 	s.sessions[conn] = sess
 	s.mu.Unlock()
+	s.met(sess.Peer())
 	for {
 		c, err := sess.mux.AcceptStream()
 		if err != nil {
--- a/internal/wire/link/session.go
+++ b/internal/wire/link/session.go
@@ -26,8 +26,6 @@
 	maxHandshakeTrip = 500 * clock.Millisecond
 	// refusalWait is how long a refused peer may take to read the reason.
 	refusalWait   = 500 * clock.Millisecond
-	keepAlive     = 10 * clock.Second
-	writeTimeout  = 5 * clock.Second
 	acceptBacklog = 1024
 	// maxIdleStreams bounds the streams that a session keeps for reuse.
 	maxIdleStreams = 256
@@ -120,11 +118,24 @@
 	_ = s.mux.Close()
 }
 
-func muxConfig() *yamux.Config {
+// Timing says how soon a silent peer is noticed.
+type Timing struct {
+	// KeepAlive is the time between checks of a session.
+	KeepAlive clock.Milli
+	// Write is how long a check, or a write of pending frames, may take before
+	// the session ends.
+	Write clock.Milli
+	// Dial bounds connecting and the handshake.
+	Dial clock.Milli
+}
+
+var defaultTiming = Timing{KeepAlive: 10 * clock.Second, Write: 5 * clock.Second, Dial: handshakeTimeout}
+
+func muxConfig(t Timing) *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = acceptBacklog
-	c.KeepAliveInterval = keepAlive.Duration()
-	c.ConnectionWriteTimeout = writeTimeout.Duration()
+	c.KeepAliveInterval = t.KeepAlive.Duration()
+	c.ConnectionWriteTimeout = t.Write.Duration()
 	c.StreamOpenTimeout = handshakeTimeout.Duration()
 	c.StreamCloseTimeout = clock.Minute.Duration()
 	c.LogOutput = io.Discard
@@ -132,13 +143,13 @@
 }
 
 // dial connects to the daemon at addr and shakes hands.
-func dial(ctx context.Context, addr string, self Identity, clk clock.Clock) (*Session, error) {
-	d := net.Dialer{Timeout: handshakeTimeout.Duration()}
+func dial(ctx context.Context, addr string, self Identity, clk clock.Clock, t Timing) (*Session, error) {
+	d := net.Dialer{Timeout: t.Dial.Duration()}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(ErrClosed, err.Error())
 	}
-	mux, err := yamux.Client(&joinConn{Conn: conn}, muxConfig())
+	mux, err := yamux.Client(&joinConn{Conn: conn}, muxConfig(t))
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(ErrHandshake, err.Error())
@@ -184,7 +195,7 @@
 func welcome(conn net.Conn, self Identity, clk clock.Clock) (*Session, error) {
 	timer := time.AfterFunc(handshakeTimeout.Duration(), func() { _ = conn.Close() })
 	defer timer.Stop()
-	mux, err := yamux.Server(&joinConn{Conn: conn}, muxConfig())
+	mux, err := yamux.Server(&joinConn{Conn: conn}, muxConfig(defaultTiming))
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(ErrHandshake, err.Error())
