beat: remember the births of instances that left

A restarted daemon took the first heartbeat of a draining upstream for a new instance when the heartbeat told its birth, and a deregistration before the first heartbeat was forgotten.

--- a/internal/fleet/beat/keeper.go
+++ b/internal/fleet/beat/keeper.go
@@ -3,6 +3,8 @@
 package beat
 
 import (
+	"math"
+
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 )
@@ -56,6 +58,9 @@
 	return u.Known() && !u.Leaving && !u.Down
 }
 
+// anyBirth is later than every birth.
+const anyBirth = clock.Milli(math.MaxFloat64)
+
 // maxRetired bounds the instances that are remembered as replaced.
 const maxRetired = 64
 
@@ -91,6 +96,10 @@
 	if k.stale(r) {
 		return false
 	}
+	if r.Instance == k.now.Instance && k.now.Born == 0 {
+		// What an earlier daemon stored may lack the birth.
+		k.now.Born = r.Born
+	}
 	if r.Instance != k.now.Instance || r.Born != k.now.Born {
 		k.replace(r)
 	}
@@ -118,15 +127,24 @@
 // replace starts to follow another instance.
 func (k *Keeper) replace(r Report) {
 	if k.now.Known() && k.now.Instance != r.Instance {
-		if len(k.retired) >= maxRetired {
-			k.retired = make(map[string]clock.Milli)
-		}
-		k.retired[k.now.Instance] = k.now.Born
+		k.retire(k.now.Instance, k.now.Born)
 	}
 	k.now = Upstream{Instance: r.Instance, Born: r.Born}
 	k.seq = 0
 }
 
+// retire remembers an instance that ended. Without a birth, no start under
+// that id is believed any more.
+func (k *Keeper) retire(instance string, born clock.Milli) {
+	if born == 0 {
+		born = anyBirth
+	}
+	if len(k.retired) >= maxRetired {
+		k.retired = make(map[string]clock.Milli)
+	}
+	k.retired[instance] = max(born, k.retired[instance])
+}
+
 // Leave takes in that an instance ends; born is zero if it did not tell its
 // start. It reports whether it is the current one.
 func (k *Keeper) Leave(instance string, born clock.Milli) bool {
@@ -134,9 +152,7 @@
 		return false
 	}
 	if instance != k.now.Instance {
-		if _, ok := k.retired[instance]; !ok && len(k.retired) < maxRetired {
-			k.retired[instance] = 0
-		}
+		k.retire(instance, born)
 		return false
 	}
 	k.now.Leaving = true
--- a/internal/fleet/peers/record.go
+++ b/internal/fleet/peers/record.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
@@ -27,8 +28,10 @@
 	Service string
 	// Upstream is the id of the upstream's instance, empty while unknown.
 	Upstream string
-	Version  string
-	Slots    int
+	// Born is the start of that instance, zero if it did not tell.
+	Born    clock.Milli
+	Version string
+	Slots   int
 	// Leaving says that the upstream takes no new work.
 	Leaving bool
 }
@@ -54,6 +57,7 @@
 	return &wire.PeerRecord{
 		Id: r.ID, Incarnation: r.Incarnation, Seq: r.Seq, Gone: r.Gone, Centre: r.Centre, Region: r.Region,
 		Service: r.Service, Upstream: r.Upstream, Version: r.Version, Slots: uint32(r.Slots), Leaving: r.Leaving,
+		BornMs: float64(r.Born),
 	}
 }
 
@@ -63,6 +67,7 @@
 		ID: w.GetId(), Incarnation: w.GetIncarnation(), Seq: w.GetSeq(), Gone: w.GetGone(), Centre: w.GetCentre(),
 		Region: w.GetRegion(), Service: w.GetService(), Upstream: w.GetUpstream(), Version: w.GetVersion(),
 		Slots: int(w.GetSlots()), Leaving: w.GetLeaving(),
+		Born: clock.Milli(w.GetBornMs()),
 	}
 }
 
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -55,8 +55,6 @@
 
 	mu       sync.Mutex
 	services map[string]*moveState
-	// accepted has the versions of a service that get calls without an order.
-	accepted map[string]string
 	// restored is set once the statuses of earlier daemons were read.
 	restored bool
 }
@@ -289,11 +287,10 @@
 	return out
 }
 
-// merge takes in what a peer told. It reports whether a move ended by it.
-func (m *moves) merge(now clock.Milli, in []*wire.MoveState) bool {
+// merge takes in what a peer told.
+func (m *moves) merge(now clock.Milli, in []*wire.MoveState) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	ended := false
 	for _, w := range in {
 		s := m.services[w.GetService()]
 		if s == nil || s.move.Order().Offset != w.GetOffset() {
@@ -301,10 +298,9 @@
 		}
 		s.move.Started(now - clock.Milli(w.GetAgeMs()))
 		if s.move.Settle(canary.Phase(w.GetPhase()&^writtenBit), "told by a peer") {
-			s.ended, ended = now, true
+			s.ended = now
 			m.report(w.GetService(), s)
 		}
 		s.written = s.written || w.GetPhase()&writtenBit != 0
 	}
-	return ended
 }
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -150,7 +150,7 @@
 	if own.Upstream == "" {
 		return
 	}
-	u := beat.Upstream{Instance: own.Upstream, Version: own.Version, Slots: own.Slots, Leaving: own.Leaving}
+	u := beat.Upstream{Instance: own.Upstream, Born: own.Born, Version: own.Version, Slots: own.Slots, Leaving: own.Leaving}
 	n.upstream.keeper.Restore(u)
 }
 
@@ -228,7 +228,9 @@
 	}
 	err := n.stop()
 	cancel()
-	<-done
+	if down := <-done; !errors.Is(down, context.Canceled) {
+		n.log.Warn().Err(down).Msg("supervisor_ended")
+	}
 	n.pool.Close()
 	return err
 }
--- a/internal/node/mesh/parts.go
+++ b/internal/node/mesh/parts.go
@@ -125,7 +125,7 @@
 // describe sets what the record says of the upstream.
 func (n *Node) describe(r *peers.Record) {
 	u := n.upstream.state()
-	r.Upstream, r.Version, r.Slots, r.Leaving = u.Instance, u.Version, u.Slots, u.Leaving
+	r.Upstream, r.Born, r.Version, r.Slots, r.Leaving = u.Instance, u.Born, u.Version, u.Slots, u.Leaving
 }
 
 // upstreamFailed takes in a failure to reach the upstream.
--- a/internal/node/mesh/share.go
+++ b/internal/node/mesh/share.go
@@ -108,9 +108,8 @@
 
 // take applies what a peer knew.
 func (s *sharer) take(r *wire.ShareReply) {
-	for _, p := range r.GetPeers() {
-		s.table.Merge(peers.Decode(p))
-	}
+	// Orders come first: an upstream of a new version must not be used before
+	// the order that allows it is known.
 	if r.GetOrdersWhole() && r.GetOrdersEnd() > s.book.End() {
 		records := make([]order.Record, 0, len(r.GetOrders()))
 		for _, o := range r.GetOrders() {
@@ -122,6 +121,9 @@
 		s.orders.Kick()
 	}
 	s.moves.merge(s.clock.Now(), r.GetMoves())
+	for _, p := range r.GetPeers() {
+		s.table.Merge(peers.Decode(p))
+	}
 }
 
 // serve answers a comparison.
