--- /dev/null
+++ b/internal/conf/feed/follow_test.go
@@ -0,0 +1,191 @@
+package feed_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// topic is a store with one topic and faults that tests switch.
+type topic struct {
+	mu    sync.Mutex
+	items []feed.Item
+	first int64
+	down  bool
+	hang  bool
+	reads int
+	wait  chan struct{}
+}
+
+func newTopic() *topic { return &topic{wait: make(chan struct{})} }
+
+func (s *topic) add(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items = append(s.items, feed.Item{Key: key, Value: []byte(value), Offset: int64(len(s.items))})
+	close(s.wait)
+	s.wait = make(chan struct{})
+}
+
+func (s *topic) set(f func(*topic)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+func (s *topic) Newest(context.Context, string) (feed.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return feed.Batch{}, feed.ErrUnavailable
+	}
+	newest := map[string]feed.Item{}
+	for _, i := range s.items {
+		newest[i.Key] = i
+	}
+	b := feed.Batch{End: int64(len(s.items))}
+	for _, i := range newest {
+		b.Items = append(b.Items, i)
+	}
+	return b, nil
+}
+
+func (s *topic) Read(ctx context.Context, _ string, from int64, _ clock.Milli) (feed.Batch, error) {
+	for {
+		s.mu.Lock()
+		s.reads++
+		wait, hang := s.wait, s.hang
+		switch {
+		case s.down:
+			s.mu.Unlock()
+			return feed.Batch{}, feed.ErrUnavailable
+		case from < s.first:
+			s.mu.Unlock()
+			return feed.Batch{}, feed.ErrGone
+		case !hang && from < int64(len(s.items)):
+			b := feed.Batch{Items: append([]feed.Item{}, s.items[from:]...), End: int64(len(s.items))}
+			s.mu.Unlock()
+			return b, nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return feed.Batch{}, ctx.Err()
+		}
+	}
+}
+
+func (s *topic) Append(context.Context, string, feed.Item, int64) (int64, error) { return 0, nil }
+
+// sink collects the newest values.
+type sink struct {
+	mu     sync.Mutex
+	values map[string]string
+}
+
+func (s *sink) Replace(items []feed.Item, end int64) { s.Apply(items, end) }
+
+func (s *sink) Apply(items []feed.Item, _ int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range items {
+		s.values[i.Key] = string(i.Value)
+	}
+}
+
+func (s *sink) value(key string) func() string {
+	return func() string {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.values[key]
+	}
+}
+
+func follow(t *testing.T, s *topic) (*feed.Follower, *sink) {
+	t.Helper()
+	out := &sink{values: map[string]string{}}
+	f := feed.NewFollower(s, "t", out, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return f, out
+}
+
+// backWithin is how soon a follower must be back after the store.
+const backWithin = 2 * time.Second
+
+// Guards against records that a follower misses: those before its start, those
+// that come while the store is away, and those of a history that was dropped.
+func TestFollow(t *testing.T) {
+	tests := map[string]func(g Gomega, s *topic, f *feed.Follower){
+		"new record": func(_ Gomega, s *topic, _ *feed.Follower) { s.add("k", "new") },
+		"store away for a while": func(g Gomega, s *topic, f *feed.Follower) {
+			s.set(func(s *topic) { s.down = true })
+			s.add("x", "wakes the read")
+			g.Eventually(f.Online, time.Second).Should(BeFalse())
+			s.add("k", "new")
+			s.set(func(s *topic) { s.down = false })
+		},
+		"history dropped": func(_ Gomega, s *topic, _ *feed.Follower) {
+			s.set(func(s *topic) { s.hang = true })
+			s.add("k", "new")
+			s.set(func(s *topic) { s.hang = false; s.first = 2 })
+			s.add("y", "wakes the read")
+		},
+		"read hangs and a peer knows more": func(_ Gomega, s *topic, f *feed.Follower) {
+			s.set(func(s *topic) { s.hang = true })
+			s.add("k", "new")
+			time.Sleep(20 * time.Millisecond)
+			s.set(func(s *topic) { s.hang = false })
+			f.Kick()
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newTopic()
+			s.add("k", "old")
+			f, out := follow(t, s)
+			g.Eventually(out.value("k"), time.Second).Should(Equal("old"))
+			tt(g, s, f)
+			g.Eventually(out.value("k"), backWithin, 10*time.Millisecond).Should(Equal("new"))
+			g.Eventually(f.Online, backWithin).Should(BeTrue())
+		})
+	}
+}
+
+// Guards against a follower that asks the store all the time: each call has a
+// price.
+func TestCallsAreFew(t *testing.T) {
+	g := NewWithT(t)
+	s := newTopic()
+	s.add("k", "0")
+	_, out := follow(t, s)
+	g.Eventually(out.value("k"), time.Second).Should(Equal("0"))
+	for range 20 {
+		s.add("k", "1")
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g.Expect(s.reads).To(BeNumerically("<=", 12))
+}
