--- a/internal/node/mesh/links.go
+++ b/internal/node/mesh/links.go
@@ -18,6 +18,10 @@
 	// daemon.
 	firstRedial = 300 * clock.Millisecond
 	lastRedial  = 2 * clock.Second
+	// lostAfter is how long a daemon is tried that often, and lostRedial the
+	// pause from then on.
+	lostAfter  = clock.Minute
+	lostRedial = 30 * clock.Second
 	// dialsAtOnce bounds the connections that are opened at the same time.
 	dialsAtOnce = 8
 )
@@ -48,9 +52,28 @@
 	busy bool
 	due  clock.Milli
 	wait clock.Milli
+	// lost is when the first try in a row failed, zero after a success.
+	lost clock.Milli
 	done chan bool
 }
 
+// ended sets when the next try is due.
+func (r *redial) ended(now clock.Milli, ok bool) {
+	r.busy = false
+	if ok {
+		r.wait, r.lost, r.due = 0, 0, now
+		return
+	}
+	if r.lost == 0 {
+		r.lost = now
+	}
+	r.wait = min(lastRedial, max(firstRedial, 2*r.wait))
+	if now-r.lost > lostAfter {
+		r.wait = lostRedial
+	}
+	r.due = now + r.wait
+}
+
 func newLinks(self string, clk clock.Clock, log zerolog.Logger, pool *link.Pool, table *peers.Table) *links {
 	return &links{
 		self: self, clock: clk, log: log, pool: pool, table: table,
@@ -85,20 +108,19 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case id := <-l.met:
-			l.look(ctx, id, false)
+			l.look(ctx, id)
 		case <-t.C:
 			for _, r := range l.table.All() {
-				l.look(ctx, r.ID, r.Gone)
+				l.look(ctx, r.ID)
 			}
 		}
 	}
 }
 
-// look checks the link to a daemon and opens one if it is due.
-func (l *links) look(ctx context.Context, id string, gone bool) {
-	if id == l.self {
-		gone = false
-	}
+// look checks the link to a daemon and opens one if it is due. A daemon that
+// ended as planned is tried too: it may be back, and where the store turns it
+// away it knows nobody.
+func (l *links) look(ctx context.Context, id string) {
 	up := l.pool.Linked(id)
 	if l.table.Linked(id, up || id == l.self) {
 		l.log.Info().Str("peer", id).Bool("up", up).Msg("peer_link")
@@ -111,15 +133,10 @@
 	now := l.clock.Now()
 	select {
 	case ok := <-s.done:
-		s.busy = false
-		s.wait = min(lastRedial, max(firstRedial, 2*s.wait))
-		if ok {
-			s.wait = 0
-		}
-		s.due = now + s.wait
+		s.ended(now, ok)
 	default:
 	}
-	if up || gone || s.busy || now < s.due {
+	if up || s.busy || now < s.due {
 		return
 	}
 	select {
--- a/internal/node/mesh/parts.go
+++ b/internal/node/mesh/parts.go
@@ -11,6 +11,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/httpd"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/route"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/place"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/retry"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/beat"
@@ -79,6 +80,11 @@
 	}
 }
 
+// Targets returns the upstreams of a service that this daemon can reach.
+func (n *Node) Targets(service string) []call.Target {
+	return n.table.Targets(service)
+}
+
 // routes returns the routes in force, nil before the first configuration.
 func (n *Node) routes() *route.Table {
 	return n.book.Orders().Table
