lane: start short calls on slow VMs and wait by the deadline

Calls were also refused after six busy targets although others would have taken them later.

Now a call waits at the fourth target, up to half of its aim or 0.3 of its deadline; a short one starts on a slow VM; a long one only while it is half idle; targets whose service time is 1.6 times the others' cost more.

--- a/internal/core/lane/lane.go
+++ b/internal/core/lane/lane.go
@@ -22,8 +22,13 @@
 	paceLife = 500 * clock.Millisecond
 	// queuePerSlot bounds the calls that wait, in multiples of the slots.
 	queuePerSlot = 3
-	// waitShare is the part of the time until a call's aim that it may wait.
-	waitShare = 0.5
+	// aimShare and deadlineShare are the parts of the time until a call's aim
+	// and its deadline that it may wait; the longer one counts.
+	aimShare      = 0.5
+	deadlineShare = 0.3
+	// slowCost is the time that a call may lose on a slow VM before it is better
+	// to wait: a VM's pace changes about as soon.
+	slowCost = 200 * clock.Millisecond
 	// leastWait lets a short burst queue where the aim has passed.
 	leastWait = 30 * clock.Millisecond
 	// easyPart is the part of the slots up to which upstreams do not slow down.
@@ -54,6 +59,8 @@
 	queue   []waiting
 	seq     uint64
 	service map[string]clock.Milli
+	// typical is the mean service time of all calls at the usual pace.
+	typical clock.Milli
 	pace    float64
 	paceAt  clock.Milli
 	tallies map[string]*call.Tally
@@ -67,6 +74,7 @@
 		active:  make(map[call.ID]running),
 		service: make(map[string]clock.Milli),
 		tallies: make(map[string]*call.Tally),
+		typical: initialService,
 	}
 }
 
@@ -105,10 +113,8 @@
 	case now >= t.Deadline:
 		return append(actions, admit.Action{ID: t.ID, Reason: call.ReasonDeadline})
 	}
-	if len(l.queue) == 0 && l.fits(now) {
-		if t.Insist || !l.crowded() {
-			return append(actions, l.admit(now, t))
-		}
+	if len(l.queue) == 0 && l.fits(now, t) && (t.Insist || !l.crowded()) {
+		return append(actions, l.admit(now, t))
 	}
 	if reason := l.elsewhere(now); reason != call.ReasonNone && !t.Insist {
 		return append(actions, admit.Action{ID: t.ID, Reason: reason})
@@ -162,11 +168,11 @@
 
 // until is the last instant at which a call may start.
 func (l *Lane) until(now clock.Milli, t admit.Ticket) clock.Milli {
-	left := t.Deadline - now
+	wait := max(leastWait, deadlineShare*(t.Deadline-now))
 	if t.Aim > 0 {
-		left = max(0, t.Aim-now)
+		wait = max(wait, aimShare*(t.Aim-now))
 	}
-	return min(t.Deadline, now+max(leastWait, waitShare*left))
+	return min(t.Deadline, now+wait)
 }
 
 // place is the position of a call among those that wait: by rank, then by
@@ -189,29 +195,22 @@
 		}
 		return call.ReasonNone
 	}
-	wait := clock.Milli(float64(ahead+1)/float64(l.slots)) * l.mean(now)
-	// Calls in progress end one by one, so the next slot is free sooner.
-	if now+wait/2 > w.until {
+	if len(l.active) < l.slots && ahead == 0 {
+		return call.ReasonNone
+	}
+	wait := clock.Milli(float64(ahead+1)/float64(l.slots)) * l.typical
+	if now+wait > w.until {
 		return call.ReasonQueueFull
 	}
 	return call.ReasonNone
 }
 
-// mean is the service time expected now.
-func (l *Lane) mean(now clock.Milli) clock.Milli {
-	return l.usual() * clock.Milli(l.paceNow(now))
-}
-
-// usual is the mean service time at the usual pace.
-func (l *Lane) usual() clock.Milli {
-	if len(l.service) == 0 {
-		return initialService
-	}
-	var sum clock.Milli
-	for _, s := range l.service {
-		sum += s
+// usual is the service time of a route at the usual pace.
+func (l *Lane) usual(route string) clock.Milli {
+	if s, ok := l.service[route]; ok {
+		return s
 	}
-	return sum / clock.Milli(len(l.service))
+	return l.typical
 }
 
 // Done takes in the end of an admitted call.
@@ -246,6 +245,7 @@
 	if pace > 0 {
 		r.Latency /= clock.Milli(pace)
 	}
+	l.typical += serviceSmooth * (r.Latency - l.typical)
 	if old, ok := l.service[route]; ok {
 		r.Latency = old + serviceSmooth*(r.Latency-old)
 	}
@@ -275,7 +275,7 @@
 		Queued:     len(l.queue),
 		Limit:      l.slots,
 		Slots:      l.slots,
-		Latency:    l.mean(now),
+		Latency:    l.typical,
 		Cold:       l.cold.limits(now),
 		Pace:       l.paceNow(now),
 		Leaving:    l.leaving,
@@ -302,8 +302,16 @@
 	return l.pace
 }
 
-func (l *Lane) fits(now clock.Milli) bool {
-	return len(l.active) < l.slots && l.cold.ready(now) && !l.slow(now)
+// fits reports whether a call may start now. A short call that has no other
+// target starts on a slow VM too.
+func (l *Lane) fits(now clock.Milli, t admit.Ticket) bool {
+	if len(l.active) >= l.slots || !l.cold.ready(now) {
+		return false
+	}
+	if !l.slow(now) {
+		return true
+	}
+	return t.Insist && clock.Milli(l.paceNow(now)-1)*l.usual(t.Route) <= slowCost
 }
 
 func (l *Lane) admit(now clock.Milli, t admit.Ticket) admit.Action {
@@ -315,7 +323,7 @@
 }
 
 func (l *Lane) dispatch(now clock.Milli, actions []admit.Action) []admit.Action {
-	for len(l.queue) > 0 && l.fits(now) {
+	for len(l.queue) > 0 && l.fits(now, l.queue[0].ticket) {
 		w := l.queue[0]
 		l.queue = l.queue[1:]
 		actions = append(actions, l.admit(now, w.ticket))
@@ -326,8 +334,8 @@
 // late reports whether a call that waited for a faster VM can still be
 // answered, if late, by the slow one.
 func (l *Lane) late(now clock.Milli, w waiting) bool {
-	return l.slow(now) && len(l.active) < l.slots && l.cold.ready(now) &&
-		now+clock.Milli(l.paceNow(now))*l.usual() < w.ticket.Deadline
+	return l.slow(now) && 2*len(l.active) < l.slots && l.cold.ready(now) &&
+		now+clock.Milli(l.paceNow(now))*l.usual(w.ticket.Route) < w.ticket.Deadline
 }
 
 func (l *Lane) expire(now clock.Milli, actions []admit.Action) []admit.Action {
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -32,6 +32,9 @@
 	// busyFrom is the share of slots in use from which targets slow down.
 	busyFrom = 0.8
 	busySlow = 1.7
+	// notablySlow is the ratio of service times from which a target counts as
+	// slower than others.
+	notablySlow = 1.6
 	// failSmooth is the weight of one result in a target's share of failures.
 	failSmooth = 0.25
 	// failLife is the time in which a failure share without calls halves.
@@ -59,6 +62,8 @@
 	order   []*target
 	service clock.Milli
 	mean    float64
+	// usual is the mean service time that targets report at the usual pace.
+	usual clock.Milli
 }
 
 // New returns a picker that draws from r.
@@ -95,6 +100,10 @@
 		return
 	}
 	t.view, t.seen, t.atView = v, true, t.own
+	if p.usual == 0 {
+		p.usual = v.Latency
+	}
+	p.usual += serviceSmooth * (min(v.Latency, 2*p.usual) - p.usual)
 	if v.Limit > 0 {
 		p.mean += serviceSmooth * (float64(v.InProgress+v.Queued)/float64(v.Limit) - p.mean)
 	}
@@ -179,7 +188,7 @@
 // failures and for traffic between data centres.
 func (p *Picker) cost(now clock.Milli, q *pick.Query, t *target) clock.Milli {
 	load, limit, pace := p.load(now, t)
-	slow := pace
+	slow := pace * p.slowness(t)
 	if load+1 > busyFrom*limit {
 		slow *= busySlow
 	}
@@ -201,6 +210,18 @@
 	return c
 }
 
+// slowness is how much longer work takes at a target than at others, apart from
+// the pace of its VM. Small differences are chance.
+func (p *Picker) slowness(t *target) float64 {
+	if !t.seen || p.usual == 0 {
+		return 1
+	}
+	if r := float64(t.view.Latency / p.usual); r > notablySlow {
+		return r
+	}
+	return 1
+}
+
 // load estimates the calls at a target, its limit and its pace.
 func (p *Picker) load(now clock.Milli, t *target) (load, limit, pace float64) {
 	limit = float64(max(1, t.Slots))
--- a/internal/path/entry/tries.go
+++ b/internal/path/entry/tries.go
@@ -16,6 +16,10 @@
 // guard's proof that the request was not run.
 const graceAfterDeadline = 20 * clock.Millisecond
 
+// patience is the number of targets that may refuse a call for the moment
+// before it waits at one.
+const patience = 3
+
 // tries runs the attempts of one call, one after the other.
 type tries struct {
 	entry   *Entry
@@ -63,6 +67,9 @@
 // whether the call may be tried again, or reports that the call is over.
 func (t *tries) attempt(ctx context.Context) (res call.Result, v retry.Verdict, over bool) {
 	now := t.entry.clock.Now()
+	if t.attempts >= patience {
+		t.insist()
+	}
 	q := t.query(now, t.tried)
 	target, reason, ok := t.service.choose(now, q, t.entry.roster, t.attempts == 0)
 	if !ok {
