--- a/internal/node/mesh/announce.go
+++ b/internal/node/mesh/announce.go
@@ -17,6 +17,9 @@
 	announceTimeout = clock.Second
 	// announceRetry is the pause after a failed write.
 	announceRetry = 700 * clock.Millisecond
+	// firstWait is how long a daemon that has not heard of its upstream waits
+	// with its first record: one record then serves instead of two.
+	firstWait = 2500 * clock.Millisecond
 	// leaveWait is how long a heartbeat that ends an instance waits for the
 	// store. The heartbeat must be answered within a second.
 	leaveWait = 400 * clock.Millisecond
@@ -87,7 +90,8 @@
 }
 
 func (a *announcer) run(ctx context.Context) error {
-	a.signal()
+	first := time.AfterFunc(firstWait.Duration(), a.signal)
+	defer first.Stop()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -74,7 +74,8 @@
 	}
 	n.build(own)
 	n.table.Merge(stored...)
-	n.members = feed.NewFollower(p.Store(), p.Topics().Peers, peerSink{table: n.table, log: log, found: n.found}, log, feed.WithFrom(from))
+	n.members = feed.NewFollower(p.Store(), p.Topics().Peers, peerSink{table: n.table, log: log, found: n.found}, log,
+		feed.WithFrom(from), feed.WithCalm(memberCalm))
 	n.serve()
 	return n, n.listen()
 }
--- a/internal/path/entry/tries.go
+++ b/internal/path/entry/tries.go
@@ -76,6 +76,7 @@
 		target, reason, ok = t.fallBack(now, q)
 	}
 	if !ok && t.insist() {
+		// A target that refused the call for the moment is asked again.
 		q.Tried = nil
 		target, reason, ok = t.service.choose(now, q, t.entry.roster, false)
 	}
@@ -113,7 +114,7 @@
 // insist lets the call wait at a target that refused it before, when there is
 // no other left. It reports false if that is no use.
 func (t *tries) insist() bool {
-	if t.request.Insist || t.attempts == 0 || t.last.Outcome != call.NotRun || !occupied(t.last.Reason) {
+	if t.attempts == 0 || t.last.Outcome != call.NotRun || !occupied(t.last.Reason) {
 		return false
 	}
 	t.request.Insist = true
