--- a/commands/mesh.go
+++ b/commands/mesh.go
@@ -19,6 +19,8 @@
 	// meshGCPercent keeps the heap small: memory costs more here than the
 	// collections.
 	meshGCPercent = 50
+	// meshLogRate bounds the log lines a second that are no warnings.
+	meshLogRate = 1000
 	// meshMemoryPart is the part of the memory limit from which on collections
 	// are frequent.
 	meshMemoryPart = 0.7
@@ -52,7 +54,7 @@
 	if s.Mesh.Memory > 0 {
 		debug.SetMemoryLimit(int64(meshMemoryPart * float64(s.Mesh.Memory)))
 	}
-	log, out := logs.Open(os.Stdout, level)
+	log, out := logs.Open(os.Stdout, level, logs.WithRate(meshLogRate))
 	defer func() { _ = out.Close() }()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 )
 
 // New returns a logger that writes key=value lines to w. The message of an
@@ -16,14 +17,27 @@
 	return logger(&direct{out: w}, level)
 }
 
-// Open returns a logger that converts and writes lines in the background.
+// Open returns a logger that converts and writes lines in the background. It
+// never waits: while the output accepts nothing, lines are dropped and counted.
 // Closing the writer writes what is pending; lines logged later are written at
 // once.
-func Open(w io.Writer, level zerolog.Level) (zerolog.Logger, io.Closer) {
+func Open(w io.Writer, level zerolog.Level, opts ...Option) (zerolog.Logger, io.Closer) {
 	b := newBackground(w)
+	for _, o := range opts {
+		o(b)
+	}
 	return logger(b, level), b
 }
 
+// Option changes a writer in the background.
+type Option func(*background)
+
+// WithRate bounds the lines a second that are no warnings. Those beyond are
+// dropped and counted.
+func WithRate(perSecond int) Option {
+	return func(b *background) { b.rate = rate.NewLimiter(rate.Limit(perSecond), perSecond) }
+}
+
 // setNames changes the library's global names once, as loggers may be made
 // while others are in use.
 var setNames = sync.OnceFunc(func() {
--- a/internal/base/logs/logs_test.go
+++ b/internal/base/logs/logs_test.go
@@ -84,6 +84,56 @@
 	}
 }
 
+// stuck is an output that accepts nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	out     bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return s.out.Write(p)
+}
+
+// Guards against a caller that waits for its log line while nobody reads the
+// output, and against failures that are dropped before ordinary lines.
+func TestStuckOutput(t *testing.T) {
+	g := NewWithT(t)
+	s := &stuck{release: make(chan struct{})}
+	l, c := logs.Open(s, zerolog.InfoLevel)
+	text := strings.Repeat("x", 1000)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 10_000 {
+			l.Info().Str("text", text).Msg("ordinary")
+		}
+		l.Warn().Msg("failure")
+	}()
+	g.Eventually(done, "5s").Should(BeClosed())
+	close(s.release)
+	g.Expect(c.Close()).To(Succeed())
+	got := s.out.String()
+	g.Expect(got).To(ContainSubstring("event=failure"))
+	g.Expect(got).To(ContainSubstring("event=log_lines_dropped"))
+	g.Expect(strings.Count(got, "event=ordinary")).To(BeNumerically("<", 10_000))
+}
+
+// Guards against ordinary lines without a bound under load.
+func TestRate(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	const perSecond = 100
+	l, c := logs.Open(&out, zerolog.InfoLevel, logs.WithRate(perSecond))
+	for range 10 * perSecond {
+		l.Info().Msg("ordinary")
+		l.Warn().Msg("failure")
+	}
+	g.Expect(c.Close()).To(Succeed())
+	g.Expect(strings.Count(out.String(), "event=ordinary")).To(BeNumerically("<=", 2*perSecond))
+	g.Expect(strings.Count(out.String(), "event=failure")).To(Equal(10 * perSecond))
+}
+
 func BenchmarkBackground(b *testing.B) {
 	l, c := logs.Open(&bytes.Buffer{}, zerolog.InfoLevel)
 	b.ReportAllocs()
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -49,6 +49,7 @@
 	clock    clock.Clock
 	log      zerolog.Logger
 	platform Platform
+	store    feed.Store
 	table    *peers.Table
 	// push tells all peers about an ended move.
 	push func()
@@ -222,7 +223,7 @@
 
 func (m *moves) writeStatus(ctx context.Context, ord order.Move, phase canary.Phase) error {
 	topic := m.platform.Topics().Status
-	b, err := m.platform.Store().Newest(ctx, topic)
+	b, err := m.store.Newest(ctx, topic)
 	if err != nil {
 		return err
 	}
@@ -240,13 +241,13 @@
 	if err != nil {
 		return err
 	}
-	_, err = m.platform.Store().Append(ctx, topic, feed.Item{Key: key, Value: value}, b.End)
+	_, err = m.store.Append(ctx, topic, feed.Item{Key: key, Value: value}, b.End)
 	return err
 }
 
 // restore takes over the statuses that the store has, after a start.
 func (m *moves) restore(ctx context.Context) error {
-	b, err := m.platform.Store().Newest(ctx, m.platform.Topics().Status)
+	b, err := m.store.Newest(ctx, m.platform.Topics().Status)
 	if err != nil {
 		return errors.Wrap(err, "read statuses")
 	}
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -13,6 +13,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/assert"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/httpd"
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/meter"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
@@ -37,6 +38,7 @@
 type Node struct {
 	settings Settings
 	platform Platform
+	store    feed.Store
 	clock    clock.Clock
 	log      zerolog.Logger
 	self     call.Target
@@ -57,6 +59,8 @@
 	callers  *httpd.Server
 	control  *httpd.Server
 	probes   *httpd.Server
+	metrics  *httpd.Server
+	meter    *meter.Meter
 	state    state
 }
 
@@ -65,7 +69,8 @@
 func New(s Settings, p Platform, log zerolog.Logger) (*Node, error) {
 	clk := clock.NewReal()
 	assert.SetLogger(log)
-	n := &Node{settings: s, platform: p, clock: clk, log: log, table: peers.New(s.Listen.Peer)}
+	n := &Node{settings: s, platform: p, clock: clk, log: log, table: peers.New(s.Listen.Peer), meter: meter.New()}
+	n.store = &meteredStore{store: p.Store(), meter: n.meter}
 	stored, from := n.restore()
 	own := stored.own(s.Listen.Peer)
 	n.self = call.Target{
@@ -74,7 +79,7 @@
 	}
 	n.build(own)
 	n.table.Merge(stored...)
-	n.members = feed.NewFollower(p.Store(), p.Topics().Peers, peerSink{table: n.table, log: log, found: n.found}, log,
+	n.members = feed.NewFollower(n.store, p.Topics().Peers, peerSink{table: n.table, log: log, found: n.found}, log,
 		feed.WithFrom(from), feed.WithCalm(memberCalm))
 	n.serve()
 	return n, n.listen()
@@ -96,7 +101,7 @@
 func (n *Node) restore() (out stored, from int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), restoreTimeout.Duration())
 	defer cancel()
-	b, err := n.platform.Store().Newest(ctx, n.platform.Topics().Peers)
+	b, err := n.store.Newest(ctx, n.platform.Topics().Peers)
 	if err != nil {
 		n.log.Warn().Err(err).Msg("start_without_store")
 		return nil, feed.Unread
@@ -118,7 +123,7 @@
 	n.pool = link.NewPool(n.identity(), n.clock, link.WithTiming(linkTiming))
 	n.book = order.NewBook(p.DecodeOrder, n.clock, n.log)
 	n.moves = &moves{
-		self: n.self.ID, clock: n.clock, log: n.log, platform: p, table: n.table,
+		self: n.self.ID, clock: n.clock, log: n.log, platform: p, store: n.store, table: n.table,
 		services: make(map[string]*moveState),
 	}
 	n.book.Subscribe(n.moves.ordered)
@@ -134,15 +139,17 @@
 	n.guard = guard.New(n.self, s.Upstream, n.clock,
 		guard.WithLogger(n.log), guard.WithAdmitter(n.upstream), guard.WithGate(n.gate),
 		guard.WithProtocol(p.Upstream(n.upstream.instance, n.upstream.misdirected)),
-		guard.WithBefore(n.refreshPace), guard.WithIdleTimeout(upstreamIdle), guard.WithFailed(n.upstreamFailed))
+		guard.WithBefore(n.refreshPace), guard.WithIdleTimeout(upstreamIdle), guard.WithFailed(n.upstreamFailed),
+		guard.WithSample(n.recordUpstream), guard.WithRefused(n.recordRefusal))
 	n.entry = entry.New(n.self, n.clock, n.pool, n.table, &rules{book: n.book, moves: n.moves},
 		entry.WithLogger(n.log), entry.WithProtocol(p.Callers(n.routes)), entry.WithUnserved(call.ReasonNoTarget),
-		entry.WithPicker(newPicker), entry.WithRetry(newRetrier), entry.WithProbeRate(0), entry.WithBodies(heldBytes, inlineBytes), entry.WithViews(n.moves.observe))
+		entry.WithPicker(newPicker), entry.WithRetry(newRetrier), entry.WithProbeRate(0), entry.WithBodies(heldBytes, inlineBytes), entry.WithViews(n.moves.observe),
+		entry.WithRecord(n.recordCall))
 	record := peers.Record{
 		ID: n.self.ID, Incarnation: n.self.Incarnation, Seq: 1,
 		Centre: s.Centre, Region: s.Region, Service: s.Service,
 	}
-	n.announce = newAnnouncer(record, n.clock, n.log, p.Store(), p.Topics().Peers, n.table)
+	n.announce = newAnnouncer(record, n.clock, n.log, n.store, p.Topics().Peers, n.table)
 }
 
 // restoreUpstream takes over what an earlier daemon knew of the upstream. It is
@@ -162,7 +169,7 @@
 // serve makes the parts that run in the background.
 func (n *Node) serve() {
 	p := n.platform
-	n.orders = feed.NewFollower(p.Store(), p.Topics().Orders, orderSink{book: n.book}, n.log)
+	n.orders = feed.NewFollower(n.store, p.Topics().Orders, orderSink{book: n.book}, n.log)
 	n.share = &sharer{
 		clock: n.clock, log: n.log, pool: n.pool, table: n.table, book: n.book, moves: n.moves,
 		orders: n.orders, self: n.announce.record,
@@ -176,6 +183,8 @@
 	n.callers = newServer(n.state.closeWhenStopping(n.entry))
 	n.control = newServer(p.Control(n))
 	n.probes = newServer(p.Ready(n.ready))
+	n.metrics = newServer(n.meter)
+	n.addGauges()
 }
 
 // found logs daemons that became known.
@@ -196,6 +205,7 @@
 		{n.settings.Listen.Callers, func(l net.Listener) { n.callers.Listener = l }},
 		{n.settings.Listen.Control, func(l net.Listener) { n.control.Listener = l }},
 		{n.settings.Listen.Ready, func(l net.Listener) { n.probes.Listener = l }},
+		{n.settings.Listen.Metrics, func(l net.Listener) { n.metrics.Listener = l }},
 	} {
 		ln, err := net.Listen("tcp", l.addr)
 		if err != nil {
@@ -213,7 +223,7 @@
 		Timeout:   time.Second,
 	})
 	for _, s := range []suture.Service{
-		n.peer, n.callers, n.control, n.probes, n.guard, n.orders, n.members, n.links, n.share, n.announce, n.health, n.moves,
+		n.peer, n.callers, n.control, n.probes, n.metrics, n.guard, n.orders, n.members, n.links, n.share, n.announce, n.health, n.moves,
 	} {
 		sup.Add(s)
 	}
--- a/internal/node/mesh/platform.go
+++ b/internal/node/mesh/platform.go
@@ -43,6 +43,8 @@
 	Ready string
 	// Control accepts the upstream's heartbeats.
 	Control string
+	// Metrics serves counters and histograms as text.
+	Metrics string
 }
 
 // Topics are the topics of the store that the daemon uses.
--- a/internal/path/entry/entry.go
+++ b/internal/path/entry/entry.go
@@ -210,7 +210,11 @@
 
 // note logs and records the end of a call.
 func (e *Entry) note(d Decision) {
-	ev := e.log.Info().Str("request", d.Request.ID.String()).Str("service", d.Request.Service).
+	ev := e.log.Info()
+	if d.Outcome != call.Answered || d.Reason != call.ReasonNone {
+		ev = e.log.Warn()
+	}
+	ev = ev.Str("request", d.Request.ID.String()).Str("service", d.Request.Service).
 		Str("route", d.Request.Route).Str("outcome", d.Outcome.String()).Str("reason", d.Reason.String()).
 		Int("status", d.Status).Int("attempts", d.Attempts).Float64("ms", float64(d.Latency))
 	if d.Request.Label != "" {
--- a/internal/path/guard/guard.go
+++ b/internal/path/guard/guard.go
@@ -46,6 +46,7 @@
 	started  func(now clock.Milli, r *call.Request)
 	protocol Protocol
 	failed   func(err error)
+	refused  func(r call.Reason)
 	before   func(ctx context.Context, r *call.Request)
 
 	mu      sync.Mutex
@@ -83,6 +84,11 @@
 	return func(g *Guard) { g.failed = f }
 }
 
+// WithRefused sets the receiver of the reasons of refusals.
+func WithRefused(f func(call.Reason)) Option {
+	return func(g *Guard) { g.refused = f }
+}
+
 // WithBefore sets what runs before a call is offered to the admitter.
 func WithBefore(f func(ctx context.Context, r *call.Request)) Option {
 	return func(g *Guard) { g.before = f }
@@ -132,6 +138,7 @@
 		started:  func(clock.Milli, *call.Request) {},
 		protocol: ownProtocol{},
 		failed:   func(error) {},
+		refused:  func(call.Reason) {},
 		before:   func(context.Context, *call.Request) {},
 		probes:   probe.NewUpstream(probe.PerUpstream),
 		admit:    admit.New(self.Slots),
--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -140,6 +140,7 @@
 func (s *stream) refuse(c *wire.CallStart, out call.Outcome, reason call.Reason, detail string) bool {
 	s.guard.log.Info().Hex("request", c.GetId()).Str("label", c.GetLabel()).Str("service", c.GetService()).
 		Str("outcome", out.String()).Str("reason", reason.String()).Str("detail", detail).Msg("call_refused")
+	s.guard.refused(reason)
 	v := s.guard.View()
 	err := s.link.Send(&wire.Frame{Body: &wire.Frame_Refused{Refused: &wire.Refused{
 		Id:      c.GetId(),
