retry: charge twice for a retry after an upstream's error

Cause: media-almanac got 233 arrivals beyond the first, 223 allowed, though its own daemons spent 128: the others were calls of runs that were repeated after an error. Such a retry now costs two, and the share is back at a tenth.

--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -71,6 +71,7 @@
 	maxTokens float64
 	tries     int
 	freeMoves bool
+	errorCost float64
 }
 
 // WithShare sets what each first attempt earns of a further attempt, and the
@@ -86,9 +87,15 @@
 	return func(o *options) { o.freeMoves, o.tries = true, tries }
 }
 
+// WithErrorCost sets what another attempt after an upstream's error takes of
+// the budget, in attempts.
+func WithErrorCost(cost float64) Option {
+	return func(o *options) { o.errorCost = cost }
+}
+
 // New returns a policy.
 func New(opts ...Option) *Policy {
-	p := &Policy{opts: options{share: Share, maxTokens: MaxTokens, tries: MaxAttempts}, tokens: reserve}
+	p := &Policy{opts: options{share: Share, maxTokens: MaxTokens, tries: MaxAttempts, errorCost: 1}, tokens: reserve}
 	for _, o := range opts {
 		o(&p.opts)
 	}
@@ -119,10 +126,11 @@
 	if misdirected(a.Result.Reason) || p.opts.freeMoves && a.Result.Outcome == call.NotRun && a.Result.Reason != call.ReasonShed {
 		return Verdict{Retry: true, Reason: call.ReasonRetry, Final: true}
 	}
-	if p.tokens < 1 {
+	cost := p.cost(a)
+	if p.tokens < cost {
 		return Verdict{Reason: call.ReasonRetryBudget, Final: true}
 	}
-	p.tokens--
+	p.tokens -= cost
 	return Verdict{Retry: true, Reason: call.ReasonRetry, Final: true}
 }
 
@@ -147,6 +155,15 @@
 	}
 }
 
+// cost is what another attempt takes of the budget. An upstream that answered
+// with an error has often made calls of its own, which it makes again.
+func (p *Policy) cost(a Attempt) float64 {
+	if a.Result.Outcome == call.Answered {
+		return p.opts.errorCost
+	}
+	return 1
+}
+
 // spent reports whether as many upstreams as the call's own limit allows may
 // have run it.
 func (p *Policy) spent(a Attempt) bool {
--- a/internal/node/mesh/parts.go
+++ b/internal/node/mesh/parts.go
@@ -26,8 +26,11 @@
 
 	// retryShare is what a first attempt earns of a further one, and retryMost
 	// what is saved up. All daemons together stay below a fifth of the calls.
-	retryShare = 0.07
-	retryMost  = 2
+	retryShare = 0.1
+	retryMost  = 3
+	// errorCost is what a retry after an upstream's error takes: the upstream
+	// makes its calls to other services again, and those count there.
+	errorCost = 2
 	// tries bounds the targets that one call is offered to.
 	tries = 6
 
@@ -60,7 +63,7 @@
 }
 
 func newRetrier() entry.Retrier {
-	return retry.New(retry.WithShare(retryShare, retryMost), retry.WithFreeMoves(tries))
+	return retry.New(retry.WithShare(retryShare, retryMost), retry.WithFreeMoves(tries), retry.WithErrorCost(errorCost))
 }
 
 // peerServer runs the peer port under the supervisor.
--- a/internal/path/entry/entry.go
+++ b/internal/path/entry/entry.go
@@ -216,7 +216,7 @@
 	}
 	ev = ev.Str("request", d.Request.ID.String()).Str("service", d.Request.Service).
 		Str("route", d.Request.Route).Str("outcome", d.Outcome.String()).Str("reason", d.Reason.String()).
-		Int("status", d.Status).Int("attempts", d.Attempts).Float64("ms", float64(d.Latency))
+		Int("status", d.Status).Int("rank", d.Request.Rank).Int("attempts", d.Attempts).Float64("ms", float64(d.Latency))
 	if d.Request.Label != "" {
 		ev = ev.Str("label", d.Request.Label)
 	}
