--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -103,6 +103,7 @@
 		case errors.Is(err, ErrGone):
 			f.log.Info().Str("topic", f.topic).Int64("from", end).Msg("store_records_gone")
 			end = Unread
+		case ctx.Err() != nil:
 		default:
 			f.mark(false, err)
 			// What was missed meanwhile may be gone; a whole read is sure.
--- a/internal/node/mesh/stop.go
+++ b/internal/node/mesh/stop.go
@@ -17,6 +17,10 @@
 	// notice is how long callers are still served after the daemon stopped
 	// being ready: two readiness checks, one second apart, and their answers.
 	notice = 2600 * clock.Millisecond
+	// lastCalls is how long the guard takes new calls after the stop began. The
+	// upstream goes on and its slots are needed; the longest call still ends
+	// within the grace.
+	lastCalls = 1800 * clock.Millisecond
 	// spare is the part of the grace that is left for the end of the process.
 	spare = 400 * clock.Millisecond
 	// pushWait lets the news of the stop reach the peers.
@@ -61,10 +65,12 @@
 	n.state.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), (n.settings.Grace - spare).Duration())
 	defer cancel()
-	n.guard.Leave()
+	time.Sleep(lastCalls.Duration())
 	n.announce.change(func(r *peers.Record) { r.Gone = true })
 	n.share.push(ctx)
-	time.Sleep((notice - pushWait).Duration())
+	time.Sleep(pushWait.Duration())
+	n.guard.Leave()
+	time.Sleep((notice - lastCalls - pushWait).Duration())
 	entryErr := n.callers.Stop(ctx)
 	left := n.guard.Drain(ctx)
 	took := n.clock.Now() - began
