--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -24,6 +24,7 @@
 	request *call.Request
 	body    *bodyReader
 	trace   trace
+	arrived clock.Milli
 	handed  clock.Milli
 	result  admit.Result
 	status  int
@@ -42,6 +43,9 @@
 		return x.stream.refuse(x.start, outcome(reason), reason, "")
 	}
 	x.handed = g.clock.Now()
+	g.log.Info().Str("request", x.request.ID.String()).Str("label", x.request.Label).
+		Float64("waited_ms", float64(x.handed-x.arrived)).Float64("left_ms", float64(x.request.Deadline-x.handed)).
+		Msg("call_handed_over")
 	req, err := g.upstream.request(ctx, g.protocol, &x.trace, x.start, body, x.request, x.handed)
 	if err != nil {
 		return x.stream.refuse(x.start, call.NotRun, call.ReasonBadRequest, err.Error())
@@ -146,7 +150,8 @@
 		return false
 	}
 	assert.That(bytes.Equal(head.GetId(), x.request.ID[:]), assert.OwnAnswer, "reply %x to request %s", head.GetId(), x.request.ID)
-	g.log.Debug().Str("request", x.request.ID.String()).Int("status", x.status).Int64("bytes", end.GetLength()).Msg("call_answered")
+	g.log.Info().Str("request", x.request.ID.String()).Str("label", x.request.Label).Int("status", x.status).
+		Float64("ms", float64(x.result.Latency)).Int64("bytes", end.GetLength()).Msg("call_answered")
 	return end.GetError() == "" && x.bodyDone()
 }
 
--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -93,7 +93,7 @@
 	if reason = g.acquire(ctx, r); reason != call.ReasonNone {
 		return s.refuse(c, outcome(reason), reason, "")
 	}
-	x := &exchange{stream: s, start: c, request: r}
+	x := &exchange{stream: s, start: c, request: r, arrived: now}
 	return x.run(ctx)
 }
 
