--- a/internal/conf/feed/follow_test.go
+++ b/internal/conf/feed/follow_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
@@ -124,7 +125,9 @@
 	go func() { done <- f.Serve(ctx) }()
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("follower ended: %v", err)
+		}
 	})
 	return f, out
 }
--- a/internal/node/daemon/daemon.go
+++ b/internal/node/daemon/daemon.go
@@ -30,9 +30,6 @@
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
 
-// ErrListen says that an address of the settings can't be used.
-var ErrListen = errors.New("listen failed")
-
 // Daemon is one running daemon.
 type Daemon struct {
 	cfg     config.Config
@@ -153,21 +150,12 @@
 }
 
 func (d *Daemon) listen() error {
-	for _, l := range []struct {
-		addr string
-		set  func(net.Listener)
-	}{
-		{d.cfg.Listen.Peer, func(l net.Listener) { d.peers.listener = l }},
-		{d.cfg.Listen.Entry, func(l net.Listener) { d.public.Listener = l }},
-		{d.cfg.Listen.Admin, func(l net.Listener) { d.admin.Listener = l }},
-	} {
-		ln, err := net.Listen("tcp", l.addr)
-		if err != nil {
-			return errors.Wrap(ErrListen, err.Error())
-		}
-		l.set(ln)
-	}
-	return nil
+	on := d.cfg.Listen
+	return httpd.Listen(
+		httpd.Address{Addr: on.Peer, Set: func(l net.Listener) { d.peers.listener = l }},
+		httpd.Address{Addr: on.Entry, Set: func(l net.Listener) { d.public.Listener = l }},
+		httpd.Address{Addr: on.Admin, Set: func(l net.Listener) { d.admin.Listener = l }},
+	)
 }
 
 // Run serves until ctx ends and then stops gracefully.
--- a/internal/node/daemon/fleet.go
+++ b/internal/node/daemon/fleet.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/httpd"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/gossip"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/member"
@@ -33,7 +34,7 @@
 func newFleet(self call.Target, s gossip.Settings) (*fleet, error) {
 	conn, err := net.ListenPacket("udp", self.ID)
 	if err != nil {
-		return nil, errors.Wrap(ErrListen, err.Error())
+		return nil, errors.Wrap(httpd.ErrListen, err.Error())
 	}
 	f := &fleet{table: roster.New(self.ID, self.Centre), conn: conn}
 	fact := member.Fact{
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -24,9 +24,6 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 )
 
-// ErrListen says that an address of the settings can't be used.
-var ErrListen = errors.New("listen failed")
-
 // fleetName keeps daemons of other systems away.
 const fleetName = "mesh"
 
@@ -197,23 +194,14 @@
 }
 
 func (n *Node) listen() error {
-	for _, l := range []struct {
-		addr string
-		set  func(net.Listener)
-	}{
-		{n.settings.Listen.Peer, func(l net.Listener) { n.peer.listener = l }},
-		{n.settings.Listen.Callers, func(l net.Listener) { n.callers.Listener = l }},
-		{n.settings.Listen.Control, func(l net.Listener) { n.control.Listener = l }},
-		{n.settings.Listen.Ready, func(l net.Listener) { n.probes.Listener = l }},
-		{n.settings.Listen.Metrics, func(l net.Listener) { n.metrics.Listener = l }},
-	} {
-		ln, err := net.Listen("tcp", l.addr)
-		if err != nil {
-			return errors.Wrap(ErrListen, err.Error())
-		}
-		l.set(ln)
-	}
-	return nil
+	on := n.settings.Listen
+	return httpd.Listen(
+		httpd.Address{Addr: on.Peer, Set: func(l net.Listener) { n.peer.listener = l }},
+		httpd.Address{Addr: on.Callers, Set: func(l net.Listener) { n.callers.Listener = l }},
+		httpd.Address{Addr: on.Control, Set: func(l net.Listener) { n.control.Listener = l }},
+		httpd.Address{Addr: on.Ready, Set: func(l net.Listener) { n.probes.Listener = l }},
+		httpd.Address{Addr: on.Metrics, Set: func(l net.Listener) { n.metrics.Listener = l }},
+	)
 }
 
 // Run serves until ctx ends and then stops gracefully.
