--- a/internal/path/entry/tries.go
+++ b/internal/path/entry/tries.go
@@ -123,7 +123,7 @@
 
 // occupied reports whether a target refused a call that it may run later.
 func occupied(r call.Reason) bool {
-	return r == call.ReasonBusy || r == call.ReasonSlowVM
+	return r == call.ReasonBusy || r == call.ReasonSlowVM || r == call.ReasonCold
 }
 
 // done takes in the end of an attempt.
