--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -126,6 +126,7 @@
 	n.book.Subscribe(n.moves.ordered)
 	n.upstream = newUpstream(n.clock, n.log)
 	n.upstream.service = n.ownService
+	n.upstream.coldPart = max(1, s.ColdOverage-coldMargin)
 	n.upstream.counted = func() bool { return n.moves.active(s.Service) }
 	n.upstream.changed = n.upstreamChanged
 	n.restoreUpstream(own)
--- a/internal/node/mesh/platform.go
+++ b/internal/node/mesh/platform.go
@@ -29,6 +29,9 @@
 	Upstream string
 	// Grace is how long a planned stop may take.
 	Grace clock.Milli
+	// ColdOverage is the tolerated multiple of the stated rate of a cold
+	// upstream, zero if not told.
+	ColdOverage float64
 	// Memory is what the process may use, in bytes.
 	Memory int64
 }
--- a/internal/node/mesh/upstream.go
+++ b/internal/node/mesh/upstream.go
@@ -16,8 +16,9 @@
 const (
 	// initialSlots are used until the first heartbeat.
 	initialSlots = 1
-	// coldPart is the part of a cold upstream's rate that is used.
-	coldPart = 0.95
+	// coldMargin is what is left of the tolerated multiple of a cold upstream's
+	// stated rate.
+	coldMargin = 0.1
 )
 
 // upstream joins what heartbeats and health checks say of the upstream with
@@ -27,6 +28,8 @@
 	log   zerolog.Logger
 	// service describes the upstream's service in the routes in force.
 	service func() route.Service
+	// coldPart is the used multiple of a cold upstream's rate.
+	coldPart float64
 	// counted says whether views carry the counts for version moves.
 	counted func() bool
 
@@ -43,9 +46,10 @@
 func newUpstream(clk clock.Clock, log zerolog.Logger) *upstream {
 	return &upstream{
 		clock: clk, log: log,
-		service: func() route.Service { return route.Service{} },
-		counted: func() bool { return false },
-		keeper:  beat.New(), lane: lane.New(initialSlots), changed: func() {},
+		service:  func() route.Service { return route.Service{} },
+		counted:  func() bool { return false },
+		coldPart: 1,
+		keeper:   beat.New(), lane: lane.New(initialSlots), changed: func() {},
 		queued: make(chan struct{}, 1),
 	}
 }
@@ -75,7 +79,7 @@
 	if s.Instance != u.last.Instance || s.Born != u.last.Born || s.Slots != u.last.Slots {
 		u.lane.Restart(s.Slots)
 	}
-	rate := u.service().ColdRate * coldPart
+	rate := u.service().ColdRate * u.coldPart
 	u.lane.Cold(now, s.ColdUntil, rate)
 	old := u.last
 	u.last = s
