--- a/internal/conf/route/route.go
+++ b/internal/conf/route/route.go
@@ -48,12 +48,10 @@
 	ColdRate float64
 }
 
-// Limits bound what a caller may send and how long it may take.
+// Limits bound what a caller may send. Zero is no limit.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout clock.Milli
-	IdleTimeout   clock.Milli
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Table is one configuration. It is not changed after it was built.
--- a/internal/core/call/enums.go
+++ b/internal/core/call/enums.go
@@ -93,4 +93,6 @@
 	ReasonLowestCost                   // lowest_cost
 	ReasonBusy                         // busy
 	ReasonSlowVM                       // slow_vm
+	ReasonHeaderTooLarge               // header_too_large
+	ReasonBodyTooLarge                 // body_too_large
 )
--- /dev/null
+++ b/internal/node/mesh/views.go
@@ -0,0 +1,25 @@
+package mesh
+
+import (
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/route"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+)
+
+// Targets returns the upstreams of a service that this daemon can reach.
+func (n *Node) Targets(service string) []call.Target {
+	return n.table.Targets(service)
+}
+
+// routes returns the routes in force, nil before the first configuration.
+func (n *Node) routes() *route.Table {
+	return n.book.Orders().Table
+}
+
+// ownService describes the service of the upstream beside the daemon.
+func (n *Node) ownService() route.Service {
+	t := n.routes()
+	if t == nil {
+		return route.Service{}
+	}
+	return t.Services[n.settings.Service]
+}
