platform: soak of daemons under random faults of stand-ins

It compares what callers got with what upstreams ran while faults of the store, the upstreams and planned stops overlap. Daemons run in one process; kills and cuts from outside are not in it yet.

--- a/Makefile
+++ b/Makefile
@@ -6,11 +6,12 @@
 GOLANGCI_VERSION := v2.15.0
 SEED ?= 1
 MINUTES ?= 5
+SEEDS ?= 50
 
 # Tests listed in KNOWN-RED.txt as "test: TestName" are printed and not run.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 
-.PHONY: all build tools generate fmt lint test demo soak
+.PHONY: all build tools generate fmt lint test demo soak soak-mesh
 .PHONY: measure-path measure-policy measure-config measure-moves measure-scale
 
 all: build
@@ -51,6 +52,10 @@
 soak: build
 	$(BIN)/soak --bin $(BIN) --seed $(SEED) --minutes $(MINUTES)
 
+# Daemons of the platform deployment under random faults of stand-ins.
+soak-mesh:
+	$(GO) test -race -count=1 -timeout 1h -run TestSoak ./platform -soak.seed $(SEED) -soak.seeds $(SEEDS)
+
 # Decisions under load and faults, in virtual time.
 measure-policy:
 	$(GO) run ./cmd/measure-policy
