--- a/internal/base/logs/logs_test.go
+++ b/internal/base/logs/logs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -134,11 +135,18 @@
 	g.Expect(strings.Count(out.String(), "event=failure")).To(Equal(10 * perSecond))
 }
 
+// BenchmarkBackground is the cost of a line that is written, and of one beyond
+// the bound.
 func BenchmarkBackground(b *testing.B) {
-	l, c := logs.Open(&bytes.Buffer{}, zerolog.InfoLevel)
-	b.ReportAllocs()
-	for b.Loop() {
-		l.Info().Str("request", "00112233445566778899aabbccddeeff").Int("status", 200).Msg("call_routed")
+	tests := map[string][]logs.Option{"written": nil, "beyond the bound": {logs.WithRate(1)}}
+	for name, opts := range tests {
+		b.Run(name, func(b *testing.B) {
+			l, c := logs.Open(io.Discard, zerolog.InfoLevel, opts...)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.Info().Str("request", "00112233445566778899aabbccddeeff").Int("status", 200).Msg("call_routed")
+			}
+			_ = c.Close()
+		})
 	}
-	_ = c.Close()
 }
