--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -16,8 +16,8 @@
 	// readWait is how long the store may hold a read back until a record
 	// arrives. Each read has a price, so it is long.
 	readWait = 25 * clock.Second
-	// defaultCalm is the pause after a read, in which further records gather.
-	defaultCalm = 400 * clock.Millisecond
+	// defaultBatchPause is the pause after a read, in which further records gather.
+	defaultBatchPause = 400 * clock.Millisecond
 	// firstRetry and lastRetry bound the pauses while the store is away. A
 	// daemon must be back two seconds after the store is.
 	firstRetry = 300 * clock.Millisecond
@@ -34,14 +34,14 @@
 
 // Follower keeps a sink up to date with a topic.
 type Follower struct {
-	store  Store
-	topic  string
-	sink   Sink
-	log    zerolog.Logger
-	from   int64
-	calm   clock.Milli
-	kick   chan struct{}
-	online atomic.Bool
+	store      Store
+	topic      string
+	sink       Sink
+	log        zerolog.Logger
+	from       int64
+	batchPause clock.Milli
+	kick       chan struct{}
+	online     atomic.Bool
 }
 
 // Option changes a follower.
@@ -52,10 +52,10 @@
 	return func(f *Follower) { f.from = offset }
 }
 
-// WithCalm sets the pause after a read, in which further records gather. Each
+// WithBatchPause sets the pause after a read, in which further records gather. Each
 // read has a price, which all followers of a topic pay for each record.
-func WithCalm(d clock.Milli) Option {
-	return func(f *Follower) { f.calm = d }
+func WithBatchPause(d clock.Milli) Option {
+	return func(f *Follower) { f.batchPause = d }
 }
 
 // Unread is an offset that makes a follower read the whole topic first.
@@ -63,7 +63,7 @@
 
 // NewFollower returns a follower of a topic.
 func NewFollower(s Store, topic string, sink Sink, log zerolog.Logger, opts ...Option) *Follower {
-	f := &Follower{store: s, topic: topic, sink: sink, log: log, from: Unread, calm: defaultCalm, kick: make(chan struct{}, 1)}
+	f := &Follower{store: s, topic: topic, sink: sink, log: log, from: Unread, batchPause: defaultBatchPause, kick: make(chan struct{}, 1)}
 	for _, o := range opts {
 		o(f)
 	}
@@ -137,7 +137,7 @@
 	}
 	f.sink.Apply(b.Items, b.End)
 	if len(b.Items) > 0 {
-		pause(ctx, f.calm.Duration())
+		pause(ctx, f.batchPause.Duration())
 	}
 	return b.End, nil
 }
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -19,8 +19,8 @@
 	// none was set.
 	Aim   clock.Milli
 	Route string
-	// Insist says that the call waits, as no other target is left.
-	Insist bool
+	// MayQueue says that the call waits, as no other target is left.
+	MayQueue bool
 }
 
 // Action admits or refuses one call.
--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -27,9 +27,9 @@
 	// Aim is the instant until which a response has its full value, zero if
 	// none was set.
 	Aim clock.Milli
-	// Insist says that the call waits for the target, as no other one is left.
+	// MayQueue says that the call waits for the target, as no other one is left.
 	// Otherwise a target that can't start it now refuses it.
-	Insist bool
+	MayQueue bool
 }
 
 // Target is an upstream together with its daemon.
--- a/internal/core/lane/lane.go
+++ b/internal/core/lane/lane.go
@@ -116,13 +116,13 @@
 	if len(l.queue) == 0 && l.fits(now, t) {
 		return append(actions, l.admit(now, t))
 	}
-	if reason := l.elsewhere(now); reason != call.ReasonNone && !t.Insist {
+	if reason := l.refusal(now); reason != call.ReasonNone && !t.MayQueue {
 		return append(actions, admit.Action{ID: t.ID, Reason: reason})
 	}
 	l.seq++
 	w := waiting{ticket: t, seq: l.seq, until: l.until(now, t)}
 	at := l.place(w)
-	if reason := l.hopeless(now, at, w); reason != call.ReasonNone {
+	if reason := l.tooLate(now, at, w); reason != call.ReasonNone {
 		return append(actions, admit.Action{ID: t.ID, Reason: reason})
 	}
 	l.queue = slices.Insert(l.queue, at, w)
--- a/internal/core/lane/lane_test.go
+++ b/internal/core/lane/lane_test.go
@@ -15,9 +15,9 @@
 
 func id(n byte) call.ID { return call.ID{n} }
 
-func ticket(n byte, rank int, insist bool) admit.Ticket {
+func ticket(n byte, rank int, mayQueue bool) admit.Ticket {
 	return admit.Ticket{
-		ID: id(n), Rank: rank, Insist: insist, Route: "r",
+		ID: id(n), Rank: rank, MayQueue: mayQueue, Route: "r",
 		Aim: start + 600, Deadline: start + 1500,
 	}
 }
@@ -33,11 +33,11 @@
 // answer it sooner.
 func TestOffer(t *testing.T) {
 	tests := map[string]struct {
-		before func(l *lane.Lane)
-		insist bool
-		want   call.Reason
-		admit  bool
-		queued int
+		before   func(l *lane.Lane)
+		mayQueue bool
+		want     call.Reason
+		admit    bool
+		queued   int
 	}{
 		"idle":               {func(*lane.Lane) {}, false, call.ReasonNone, true, 0},
 		"almost full":        {func(l *lane.Lane) { fill(l, 4) }, false, call.ReasonBusy, false, 0},
@@ -54,7 +54,7 @@
 			g := NewWithT(t)
 			l := lane.New(6)
 			tt.before(l)
-			actions := l.Offer(start, ticket(1, 1, tt.insist))
+			actions := l.Offer(start, ticket(1, 1, tt.mayQueue))
 			if tt.queued > 0 {
 				g.Expect(actions).To(BeEmpty())
 			} else {
--- a/internal/core/lane/wait.go
+++ b/internal/core/lane/wait.go
@@ -8,8 +8,8 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 )
 
-// elsewhere returns why a call that has other targets left should go there.
-func (l *Lane) elsewhere(now clock.Milli) call.Reason {
+// refusal returns why a call that has other targets left should go there.
+func (l *Lane) refusal(now clock.Milli) call.Reason {
 	switch {
 	case l.cold.limits(now) && !l.cold.ready(now):
 		return call.ReasonCold
@@ -62,8 +62,8 @@
 	return at
 }
 
-// hopeless refuses a call at once that would not start in time.
-func (l *Lane) hopeless(now clock.Milli, ahead int, w waiting) call.Reason {
+// tooLate refuses a call at once that would not start in time.
+func (l *Lane) tooLate(now clock.Milli, ahead int, w waiting) call.Reason {
 	if l.cold.limits(now) {
 		if now+l.cold.wait(now, ahead) > w.until {
 			return call.ReasonCold
@@ -96,7 +96,7 @@
 	if !l.slow(now) {
 		return true
 	}
-	return t.Insist && clock.Milli(l.paceNow(now)-1)*l.usual(t.Route) <= slowCost
+	return t.MayQueue && clock.Milli(l.paceNow(now)-1)*l.usual(t.Route) <= slowCost
 }
 
 func (l *Lane) dispatch(now clock.Milli, actions []admit.Action) []admit.Action {
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -77,7 +77,7 @@
 	n.build(own)
 	n.table.Merge(stored...)
 	n.members = feed.NewFollower(n.store, p.Topics().Peers, peerSink{table: n.table, log: log, found: n.found}, log,
-		feed.WithFrom(from), feed.WithCalm(memberCalm))
+		feed.WithFrom(from), feed.WithBatchPause(memberBatchPause))
 	n.serve()
 	return n, n.listen()
 }
--- a/internal/node/mesh/tuning.go
+++ b/internal/node/mesh/tuning.go
@@ -23,9 +23,9 @@
 	// tries bounds the targets that one call is offered to.
 	tries = 6
 
-	// memberCalm is the pause between reads of other daemons' records. What is
+	// memberBatchPause is the pause between reads of other daemons' records. What is
 	// urgent in them, peers tell each other.
-	memberCalm = 2 * clock.Second
+	memberBatchPause = 2 * clock.Second
 
 	// heldBytes is the largest body that is read whole before the first
 	// attempt, so that a refused upload can go elsewhere. inlineBytes is the
--- a/internal/path/entry/attempt.go
+++ b/internal/path/entry/attempt.go
@@ -83,7 +83,7 @@
 		Rank:             uint32(r.Rank),
 		Aim:              float64(r.Aim),
 		Label:            r.Label,
-		Insist:           r.Insist,
+		MayQueue:         r.MayQueue,
 	}
 	if t.body.inline(t.entry.inline) {
 		c.Body = t.body.head
--- a/internal/path/entry/tries.go
+++ b/internal/path/entry/tries.go
@@ -16,9 +16,9 @@
 // guard's proof that the request was not run.
 const graceAfterDeadline = 20 * clock.Millisecond
 
-// patience is the number of targets that may refuse a call for the moment
+// refusalsBeforeQueueing is the number of targets that may refuse a call for the moment
 // before it waits at one.
-const patience = 3
+const refusalsBeforeQueueing = 3
 
 // tries runs the attempts of one call, one after the other.
 type tries struct {
@@ -67,15 +67,15 @@
 // whether the call may be tried again, or reports that the call is over.
 func (t *tries) attempt(ctx context.Context) (res call.Result, v retry.Verdict, over bool) {
 	now := t.entry.clock.Now()
-	if t.attempts >= patience {
-		t.insist()
+	if t.attempts >= refusalsBeforeQueueing {
+		t.allowQueueing()
 	}
 	q := t.query(now, t.tried)
 	target, reason, ok := t.service.choose(now, q, t.entry.roster, t.attempts == 0)
 	if !ok {
 		target, reason, ok = t.fallBack(now, q)
 	}
-	if !ok && t.insist() {
+	if !ok && t.allowQueueing() {
 		// A target that refused the call for the moment is asked again.
 		q.Tried = nil
 		target, reason, ok = t.service.choose(now, q, t.entry.roster, false)
@@ -111,13 +111,13 @@
 	return res, v, false
 }
 
-// insist lets the call wait at a target that refused it before, when there is
+// allowQueueing lets the call wait at a target that refused it before, when there is
 // no other left. It reports false if that is no use.
-func (t *tries) insist() bool {
+func (t *tries) allowQueueing() bool {
 	if t.attempts == 0 || t.last.Outcome != call.NotRun || !occupied(t.last.Reason) {
 		return false
 	}
-	t.request.Insist = true
+	t.request.MayQueue = true
 	return true
 }
 
--- a/internal/path/guard/admission.go
+++ b/internal/path/guard/admission.go
@@ -63,7 +63,7 @@
 	g.waiting[r.ID] = ch
 	g.deliver(g.admit.Offer(g.clock.Now(), admit.Ticket{
 		ID: r.ID, Class: r.Class, Deadline: r.Deadline, Rank: r.Rank, Aim: r.Aim, Route: r.Route,
-		Insist: r.Insist,
+		MayQueue: r.MayQueue,
 	}))
 	g.wake()
 	g.mu.Unlock()
--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -126,7 +126,7 @@
 		Deadline:   off.Local(clock.Milli(c.GetDeadline())),
 		Rank:       int(c.GetRank()),
 		Label:      c.GetLabel(),
-		Insist:     c.GetInsist(),
+		MayQueue:   c.GetMayQueue(),
 	}
 	if c.GetAim() > 0 {
 		r.Aim = off.Local(clock.Milli(c.GetAim()))
