feed: ask without waiting until the store is known to answer

Ruled out: the connection (keep-alive probes were answered) and the peers (they answered, but had nothing newer until 14.8 s).

After records or a failure, the next read does not wait and must be answered within 0.8 s; retries are at most 0.9 s apart. Both new rows of TestFollow failed before. What is left: a read that starts to wait in the same instant as the silence.

--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -21,7 +21,13 @@
 	// firstRetry and lastRetry bound the pauses while the store is away. A
 	// daemon must be back two seconds after the store is.
 	firstRetry = 300 * clock.Millisecond
-	lastRetry  = 1500 * clock.Millisecond
+	lastRetry  = 900 * clock.Millisecond
+	// retrySpread keeps daemons from asking a store that returns all at once.
+	retrySpread = 0.2
+	// answerWithin bounds a read that does not wait. A store that accepts calls
+	// and answers none loses them for good, and a waiting read that began
+	// meanwhile would show neither that nor its return.
+	answerWithin = 800 * clock.Millisecond
 )
 
 // Sink takes in the items of a topic.
@@ -40,8 +46,10 @@
 	log        zerolog.Logger
 	from       int64
 	batchPause clock.Milli
-	kick       chan struct{}
-	online     atomic.Bool
+	// unsure is set until a read that does not wait found nothing new.
+	unsure bool
+	kick   chan struct{}
+	online atomic.Bool
 }
 
 // Option changes a follower.
@@ -92,6 +100,7 @@
 func (f *Follower) run(ctx context.Context) error {
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = firstRetry.Duration(), lastRetry.Duration()
+	retry.RandomizationFactor = retrySpread
 	end := f.from
 	for ctx.Err() == nil {
 		next, err := f.step(ctx, end)
@@ -105,6 +114,7 @@
 			end = Unread
 		case ctx.Err() != nil:
 		default:
+			f.unsure = true
 			f.mark(false, err)
 			// What was missed meanwhile may be gone; a whole read is sure.
 			pause(ctx, retry.NextBackOff())
@@ -125,23 +135,31 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	select {
-	case <-f.kick:
-	default:
-	}
 	w := &watch{kick: f.kick, done: ctx.Done(), cancel: cancel}
 	go w.run()
-	b, err := f.store.Read(ctx, f.topic, from, readWait)
+	b, err := f.read(ctx, from)
 	if err != nil {
 		return from, err
 	}
 	f.sink.Apply(b.Items, b.End)
-	if len(b.Items) > 0 {
+	f.unsure = len(b.Items) > 0
+	if f.unsure {
 		pause(ctx, f.batchPause.Duration())
 	}
 	return b.End, nil
 }
 
+// read waits for records, unless the store may have fallen silent since the
+// last answer.
+func (f *Follower) read(ctx context.Context, from int64) (Batch, error) {
+	if !f.unsure {
+		return f.store.Read(ctx, f.topic, from, readWait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerWithin.Duration())
+	defer cancel()
+	return f.store.Read(ctx, f.topic, from, 0)
+}
+
 // mark logs when the store is lost and regained.
 func (f *Follower) mark(online bool, err error) {
 	if f.online.Swap(online) == online {
--- a/internal/conf/feed/follow_test.go
+++ b/internal/conf/feed/follow_test.go
@@ -26,8 +26,10 @@
 	first int64
 	down  bool
 	hang  bool
-	reads int
-	wait  chan struct{}
+	// silent loses each call that arrives meanwhile for good.
+	silent bool
+	reads  int
+	wait   chan struct{}
 }
 
 func newTopic() *topic { return &topic{wait: make(chan struct{})} }
@@ -46,7 +48,22 @@
 	f(s)
 }
 
-func (s *topic) Newest(context.Context, string) (feed.Batch, error) {
+// lost waits for the end of a call that the store will never answer.
+func (s *topic) lost(ctx context.Context) error {
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (s *topic) Newest(ctx context.Context, _ string) (feed.Batch, error) {
+	if err := s.lost(ctx); err != nil {
+		return feed.Batch{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
@@ -64,11 +81,15 @@
 	return b, nil
 }
 
-func (s *topic) Read(ctx context.Context, _ string, from int64, _ clock.Milli) (feed.Batch, error) {
+func (s *topic) Read(ctx context.Context, _ string, from int64, wait clock.Milli) (feed.Batch, error) {
+	if err := s.lost(ctx); err != nil {
+		return feed.Batch{}, err
+	}
+	limit := time.After(wait.Duration())
 	for {
 		s.mu.Lock()
 		s.reads++
-		wait, hang := s.wait, s.hang
+		added, hang := s.wait, s.hang
 		switch {
 		case s.down:
 			s.mu.Unlock()
@@ -83,7 +104,9 @@
 		}
 		s.mu.Unlock()
 		select {
-		case <-wait:
+		case <-added:
+		case <-limit:
+			return feed.Batch{End: from}, nil
 		case <-ctx.Done():
 			return feed.Batch{}, ctx.Err()
 		}
@@ -160,6 +183,21 @@
 			s.set(func(s *topic) { s.hang = false })
 			f.Kick()
 		},
+		"store silent after records came": func(_ Gomega, s *topic, _ *feed.Follower) {
+			s.add("x", "last answer")
+			time.Sleep(100 * time.Millisecond)
+			s.set(func(s *topic) { s.silent = true })
+			time.Sleep(500 * time.Millisecond)
+			s.set(func(s *topic) { s.silent = false })
+			s.add("k", "new")
+		},
+		"store silent after a read failed": func(g Gomega, s *topic, f *feed.Follower) {
+			s.set(func(s *topic) { s.silent = true })
+			f.Kick()
+			time.Sleep(500 * time.Millisecond)
+			s.set(func(s *topic) { s.silent = false })
+			s.add("k", "new")
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
