mesh: answer the last heartbeat of an instance once the store has it

Cause, found by reading: the change of the upstream announced the leaving first, so the wait for the store found nothing to write and ended at once. A daemon that restarted right after the answer could take the instance for usable again. TestChangeWaitsForStore failed before.

--- a/internal/node/mesh/announce.go
+++ b/internal/node/mesh/announce.go
@@ -57,19 +57,24 @@
 }
 
 // change sets what the record says. The returned channel is closed once the
-// store has it.
+// store has it, also if an earlier change said the same and is not stored yet.
 func (a *announcer) change(f func(*peers.Record)) <-chan struct{} {
 	done := make(chan struct{})
 	a.mu.Lock()
 	old := a.self
 	f(&a.self)
-	if a.self == old {
+	if a.self == old && a.written == old.Seq {
 		a.mu.Unlock()
 		close(done)
 		return done
 	}
-	a.self.Seq++
 	a.waiters = append(a.waiters, done)
+	if a.self == old {
+		a.mu.Unlock()
+		a.signal()
+		return done
+	}
+	a.self.Seq++
 	self := a.self
 	a.mu.Unlock()
 	a.table.Merge(self)
@@ -113,6 +118,7 @@
 	stored := a.written == self.Seq
 	a.mu.Unlock()
 	if stored {
+		finish(waiters)
 		return nil
 	}
 	value, err := self.Marshal()
@@ -131,10 +137,15 @@
 	a.mu.Lock()
 	a.written = max(a.written, self.Seq)
 	a.mu.Unlock()
+	finish(waiters)
+	return nil
+}
+
+// finish tells those that wait for a write.
+func finish(waiters []chan struct{}) {
 	for _, w := range waiters {
 		close(w)
 	}
-	return nil
 }
 
 // await waits for the store for a bounded time.
