mesh, httpd: one copy of what closes connections and decodes peers

Found in a second read of the change: both daemons had a middleware that asks callers to close their connection, and the start decoded the records of daemons in a loop of its own. A chain without links, a field that nothing read and a comment on a whole read that is not made are gone.

--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -116,7 +116,6 @@
 		default:
 			f.unsure = true
 			f.mark(false, err)
-			// What was missed meanwhile may be gone; a whole read is sure.
 			pause(ctx, retry.NextBackOff())
 		}
 	}
--- a/internal/core/lane/lane.go
+++ b/internal/core/lane/lane.go
@@ -39,8 +39,7 @@
 )
 
 type running struct {
-	started clock.Milli
-	route   string
+	route string
 	// pace is that of the VM at the start of the call.
 	pace float64
 }
@@ -228,6 +227,6 @@
 	_, twice := l.active[t.ID]
 	assert.That(!twice, assert.AtMostOnce, "id %s admitted while it runs", t.ID)
 	l.cold.take(now)
-	l.active[t.ID] = running{started: now, route: t.Route, pace: l.paceNow(now)}
+	l.active[t.ID] = running{route: t.Route, pace: l.paceNow(now)}
 	return admit.Action{ID: t.ID, Admit: true}
 }
--- a/internal/node/daemon/servers.go
+++ b/internal/node/daemon/servers.go
@@ -28,21 +28,10 @@
 }
 
 func newPublicServer(cfg config.Config, handler http.Handler, ready *readiness) *httpd.Server {
-	chain := alice.New(ready.closeWhenStopping)
+	chain := alice.New(httpd.CloseWhen(func() bool { return !ready.ok.Load() }))
 	return &httpd.Server{HTTP: baseServer(cfg, chain.Then(handler)), Connections: cfg.Limits.Callers}
 }
 
-// closeWhenStopping asks callers to close their connection with the answer, so
-// that few are idle when the server stops and a request could cross the close.
-func (r *readiness) closeWhenStopping(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if !r.ok.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, req)
-	})
-}
-
 func baseServer(cfg config.Config, handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"github.com/justinas/alice"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
@@ -103,15 +104,7 @@
 		n.log.Warn().Err(err).Msg("start_without_store")
 		return nil, feed.Unread
 	}
-	for _, i := range b.Items {
-		r, err := peers.Unmarshal(i.Value)
-		if err != nil || r.ID != i.Key {
-			n.log.Warn().Str("key", i.Key).Err(err).Msg("peer_record_unreadable")
-			continue
-		}
-		out = append(out, r)
-	}
-	return out, b.End
+	return decodePeers(b.Items, n.log), b.End
 }
 
 // build makes the parts that calls pass.
@@ -178,7 +171,7 @@
 	n.peer = &peerServer{server: link.NewServer(n.identity(), n.clock,
 		link.WithLogger(n.log), link.WithCalls(n.guard.Handle), link.WithMet(n.links.meet),
 		link.WithControl(controlShare, n.share.serve))}
-	n.callers = newServer(n.state.closeWhenStopping(n.entry))
+	n.callers = newServer(alice.New(httpd.CloseWhen(n.state.stopping.Load)).Then(n.entry))
 	n.control = newServer(p.Control(n))
 	n.probes = newServer(p.Ready(n.ready))
 	n.metrics = newServer(n.meter)
--- a/internal/node/mesh/servers.go
+++ b/internal/node/mesh/servers.go
@@ -5,8 +5,6 @@
 	"net"
 	"net/http"
 
-	"github.com/justinas/alice"
-
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/httpd"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 )
@@ -25,7 +23,7 @@
 func newServer(h http.Handler) *httpd.Server {
 	return &httpd.Server{
 		HTTP: &http.Server{
-			Handler: alice.New().Then(h), ReadHeaderTimeout: callerHeaderTimeout.Duration(),
+			Handler: h, ReadHeaderTimeout: callerHeaderTimeout.Duration(),
 			IdleTimeout: callerIdle.Duration(), MaxHeaderBytes: callerHeaderBytes,
 		},
 		Connections: callerConnections,
--- a/internal/node/mesh/sinks.go
+++ b/internal/node/mesh/sinks.go
@@ -47,17 +47,22 @@
 
 // Apply implements feed.Sink.
 func (s peerSink) Apply(items []feed.Item, _ int64) {
-	in := make([]peers.Record, 0, len(items))
+	s.found(s.table.Merge(decodePeers(items, s.log)...))
+}
+
+// decodePeers reads the records of daemons. One that can't be read is left out.
+func decodePeers(items []feed.Item, log zerolog.Logger) []peers.Record {
+	out := make([]peers.Record, 0, len(items))
 	for _, i := range items {
 		if i.Removed {
 			continue
 		}
 		r, err := peers.Unmarshal(i.Value)
 		if err != nil || r.ID != i.Key {
-			s.log.Warn().Str("key", i.Key).Err(err).Msg("peer_record_unreadable")
+			log.Warn().Str("key", i.Key).Err(err).Msg("peer_record_unreadable")
 			continue
 		}
-		in = append(in, r)
+		out = append(out, r)
 	}
-	s.found(s.table.Merge(in...))
+	return out
 }
--- a/internal/node/mesh/stop.go
+++ b/internal/node/mesh/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -47,16 +46,6 @@
 	}
 }
 
-// closeWhenStopping asks callers to close their connection with the answer.
-func (s *state) closeWhenStopping(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // stop tells callers and peers, serves what is under way and reports what it
 // had to interrupt.
 func (n *Node) stop() error {
