mesh: give a version move's judges the counts of all guards

Now each guard sends its counts to the three judges of the service every 200 ms while a move runs. Only judges let the share grow, and the step is told to all. Views no longer carry counts.

Ruled out: counts lost with restarted daemons (the restarts came after the failures), cold upstreams (none was cold from second 6.2 on).

TestFailuresOfAllUpstreamsCount failed with reports kept to the own daemon.

--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -65,8 +65,6 @@
 	// Pace is how long work takes at the upstream's VM compared with usual;
 	// zero means that the upstream does not tell.
 	Pace float64
-	// Tallies count the calls of the upstream's version, for version moves.
-	Tallies []Tally
 	// Taken is when the view was received, on the clock of the receiver.
 	Taken clock.Milli
 }
--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -43,8 +43,9 @@
 	order    order.Move
 	phase    Phase
 	evidence evidence
-	// grew is when the share first grew, zero during the trial.
-	grew clock.Milli
+	// step counts how often the share has grown, stepped is when it last did.
+	step    int
+	stepped clock.Milli
 	// why explains a roll-back.
 	why string
 }
@@ -82,8 +83,21 @@
 	m.evidence.observe(target, incarnation, version == m.order.Version, tallies)
 }
 
-// Step looks at the evidence. It reports whether the phase changed.
-func (m *Move) Step(now clock.Milli) bool {
+// Grown takes over that the share grew at a peer.
+func (m *Move) Grown(step int, at clock.Milli) {
+	if step > m.step {
+		m.step, m.stepped = min(step, len(steps)), at
+	}
+}
+
+// Growth returns how often the share has grown, and when it last did.
+func (m *Move) Growth() (step int, at clock.Milli) {
+	return m.step, m.stepped
+}
+
+// Judge looks at the evidence. It reports whether the phase or the share
+// changed.
+func (m *Move) Judge(now clock.Milli) bool {
 	if m.phase != Running {
 		return false
 	}
@@ -91,37 +105,40 @@
 		m.phase, m.why = RolledBack, why
 		return true
 	}
-	age := now - m.order.Seen
-	proved := m.evidence.calls(true) >= proofCalls
-	due := m.order.Within * trialPart
-	if !proved {
-		due = m.order.Within * latestPart
-	}
-	if m.grew == 0 && age >= due && m.evidence.calls(true) > 0 {
-		m.grew = now
+	if !m.due(now) {
+		return false
 	}
-	if m.grew > 0 && m.step(now) >= len(steps) {
+	if m.step == len(steps) {
 		m.phase = Succeeded
 		return true
 	}
-	return false
+	m.step, m.stepped = m.step+1, now
+	return true
 }
 
-// step is the number of steps since the share first grew.
-func (m *Move) step(now clock.Milli) int {
-	return int((now - m.grew) / (m.order.Within * stepPart))
+// due reports whether the time of the present share is over.
+func (m *Move) due(now clock.Milli) bool {
+	if m.step > 0 {
+		return now-m.stepped >= m.order.Within*stepPart
+	}
+	calls := m.evidence.calls(true)
+	part := trialPart
+	if calls < proofCalls {
+		part = latestPart
+	}
+	return calls > 0 && now-m.order.Seen >= m.order.Within*clock.Milli(part)
 }
 
 // Share is the new version's part of the requests.
-func (m *Move) Share(now clock.Milli) float64 {
+func (m *Move) Share() float64 {
 	switch {
 	case m.phase == Succeeded:
 		return 1
 	case m.phase == RolledBack:
 		return 0
-	case m.grew == 0:
+	case m.step == 0:
 		return trialShare
 	default:
-		return steps[min(m.step(now), len(steps)-1)]
+		return steps[m.step-1]
 	}
 }
--- a/internal/node/mesh/gate.go
+++ b/internal/node/mesh/gate.go
@@ -15,7 +15,7 @@
 	if n.book.Orders().Out[n.settings.Centre] {
 		return call.ReasonCentreOut
 	}
-	v := n.moves.versions(now, r.Service)
+	v := n.moves.versions(r.Service)
 	if v == nil || !v.final {
 		return call.ReasonNone
 	}
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,9 +11,10 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
-	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/canary"
+	"gitlab.com/cranberrytack/cranberrytack/internal/moves/shift"
+	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
 
@@ -83,7 +85,7 @@
 
 // versions returns how the requests of a service are spread, nil if all
 // upstreams may serve them.
-func (m *moves) versions(now clock.Milli, service string) *versions {
+func (m *moves) versions(service string) *versions {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.services[service]
@@ -91,19 +93,22 @@
 		return nil
 	}
 	return &versions{
-		to: s.move.Order().Version, share: s.move.Share(now), final: s.move.Phase() != canary.Running,
+		to: s.move.Order().Version, share: s.move.Share(), final: s.move.Phase() != canary.Running,
 	}
 }
 
-// observe takes in the counts that came with a view.
-func (m *moves) observe(t *call.Target, v *call.View) {
-	if len(v.Tallies) == 0 {
-		return
-	}
+// judge reports whether this daemon is one of those that get the counts of all
+// guards of a service.
+func (m *moves) judge(service string) bool {
+	return slices.Contains(shift.Judges(service, m.table.Live()), m.self)
+}
+
+// observe takes in what a guard counted.
+func (m *moves) observe(r *wire.TallyReport) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if s := m.services[t.Service]; s != nil {
-		s.move.Observe(t.ID, v.Incarnation, t.Version, v.Tallies)
+	if s := m.services[r.GetService()]; s != nil {
+		s.move.Observe(r.GetTarget(), r.GetIncarnation(), r.GetVersion(), link.DecodeTallies(r.GetTallies()))
 	}
 }
 
@@ -132,24 +137,32 @@
 	}
 }
 
-// step reports whether a move ended.
+// step lets the moves that this daemon judges go on. It reports whether the
+// phase or the share of one changed.
 func (m *moves) step(now clock.Milli) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	ended := false
+	changed := false
 	for service, s := range m.services {
-		if s.move.Step(now) {
-			s.ended, ended = now, true
-			m.report(service, s)
+		if s.move.Phase() != canary.Running || !m.judge(service) || !s.move.Judge(now) {
+			continue
 		}
+		changed = true
+		m.report(service, s, now)
 	}
-	return ended
+	return changed
 }
 
-// report logs the end of a move.
-func (m *moves) report(service string, s *moveState) {
-	m.log.Info().Str("service", service).Str("version", s.move.Order().Version).
-		Str("phase", s.move.Phase().String()).Str("why", s.move.Why()).Msg("version_move_ended")
+// report logs that a move went on or ended.
+func (m *moves) report(service string, s *moveState, now clock.Milli) {
+	ord := s.move.Order()
+	line := m.log.Info().Str("service", service).Str("version", ord.Version)
+	if s.move.Phase() == canary.Running {
+		line.Float64("share", s.move.Share()).Float64("age_ms", float64(now-ord.Seen)).Msg("version_move_grew")
+		return
+	}
+	s.ended = now
+	line.Str("phase", s.move.Phase().String()).Str("why", s.move.Why()).Msg("version_move_ended")
 }
 
 // encode returns what peers are told.
@@ -163,7 +176,11 @@
 			phase |= writtenBit
 		}
 		ord := s.move.Order()
-		out = append(out, &wire.MoveState{Service: service, Offset: ord.Offset, AgeMs: float64(now - ord.Seen), Phase: phase})
+		step, at := s.move.Growth()
+		out = append(out, &wire.MoveState{
+			Service: service, Offset: ord.Offset, AgeMs: float64(now - ord.Seen), Phase: phase,
+			Step: uint32(step), StepAgeMs: float64(now - at),
+		})
 	}
 	return out
 }
@@ -178,9 +195,9 @@
 			continue
 		}
 		s.move.Started(now - clock.Milli(w.GetAgeMs()))
+		s.move.Grown(int(w.GetStep()), now-clock.Milli(w.GetStepAgeMs()))
 		if s.move.Settle(canary.Phase(w.GetPhase()&^writtenBit), "told by a peer") {
-			s.ended = now
-			m.report(w.GetService(), s)
+			m.report(w.GetService(), s, now)
 		}
 		s.written = s.written || w.GetPhase()&writtenBit != 0
 	}
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -50,6 +50,7 @@
 	announce *announcer
 	links    *links
 	share    *sharer
+	tallies  *tallier
 	orders   *feed.Follower
 	members  *feed.Follower
 	health   *health
@@ -120,7 +121,6 @@
 	n.upstream = newUpstream(n.clock, n.log)
 	n.upstream.service = n.ownService
 	n.upstream.coldPart = max(1, s.ColdOverage-coldMargin)
-	n.upstream.counted = func() bool { return n.moves.active(s.Service) }
 	n.upstream.changed = n.upstreamChanged
 	n.restoreUpstream(own)
 	n.health = &health{
@@ -134,7 +134,7 @@
 		guard.WithSample(n.recordUpstream), guard.WithRefused(n.recordRefusal))
 	n.entry = entry.New(n.self, n.clock, n.pool, n.table, &rules{book: n.book, moves: n.moves},
 		entry.WithLogger(n.log), entry.WithProtocol(p.Callers(n.routes)), entry.WithUnserved(call.ReasonNoTarget),
-		entry.WithPicker(newPicker), entry.WithRetry(newRetrier), entry.WithProbeRate(0), entry.WithBodies(heldBytes, inlineBytes), entry.WithViews(n.moves.observe),
+		entry.WithPicker(newPicker), entry.WithRetry(newRetrier), entry.WithProbeRate(0), entry.WithBodies(heldBytes, inlineBytes),
 		entry.WithRecord(n.recordCall))
 	record := peers.Record{
 		ID: n.self.ID, Incarnation: n.self.Incarnation, Seq: 1,
@@ -166,11 +166,12 @@
 		orders: n.orders, self: n.announce.record,
 	}
 	n.moves.push = func() { n.share.push(context.Background()) }
+	n.tallies = newTallier(n)
 	n.links = newLinks(n.self.ID, n.clock, n.log, n.pool, n.table)
 	n.links.opened = n.share.compare
 	n.peer = &peerServer{server: link.NewServer(n.identity(), n.clock,
 		link.WithLogger(n.log), link.WithCalls(n.guard.Handle), link.WithMet(n.links.meet),
-		link.WithControl(controlShare, n.share.serve))}
+		link.WithControl(controlShare, n.share.serve), link.WithControl(controlTallies, n.tallies.serve))}
 	n.callers = newServer(alice.New(httpd.CloseWhen(n.state.stopping.Load)).Then(n.entry))
 	n.control = newServer(p.Control(n))
 	n.probes = newServer(p.Ready(n.ready))
@@ -205,7 +206,7 @@
 		Timeout:   time.Second,
 	})
 	for _, s := range []suture.Service{
-		n.peer, n.callers, n.control, n.probes, n.metrics, n.guard, n.orders, n.members, n.links, n.share, n.announce, n.health, n.moves,
+		n.peer, n.callers, n.control, n.probes, n.metrics, n.guard, n.orders, n.members, n.links, n.share, n.announce, n.health, n.moves, n.tallies,
 	} {
 		sup.Add(s)
 	}
--- a/internal/node/mesh/rules.go
+++ b/internal/node/mesh/rules.go
@@ -25,7 +25,7 @@
 // Allow implements entry.Rules.
 func (r *rules) Allow(now clock.Milli, req *call.Request) (func(*call.Target) bool, call.Reason) {
 	out := r.book.Orders().Out
-	versions := r.moves.versions(now, req.Service)
+	versions := r.moves.versions(req.Service)
 	if len(out) == 0 && versions == nil {
 		return nil, call.ReasonNone
 	}
@@ -42,7 +42,7 @@
 // Fallback implements entry.Rules. A request of the new version's share that
 // finds no such upstream goes to the others.
 func (r *rules) Fallback(now clock.Milli, req *call.Request) func(*call.Target) bool {
-	versions := r.moves.versions(now, req.Service)
+	versions := r.moves.versions(req.Service)
 	if versions == nil || versions.final {
 		return nil
 	}
--- a/internal/node/mesh/status.go
+++ b/internal/node/mesh/status.go
@@ -124,7 +124,7 @@
 			}
 			if version == s.move.Order().Version && s.move.Settle(p, "found in the store") {
 				s.written = true
-				m.report(service, s)
+				m.report(service, s, m.clock.Now())
 			}
 		}
 	}
--- a/internal/node/mesh/tuning.go
+++ b/internal/node/mesh/tuning.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	controlShare = wire.ControlKind_CONTROL_KIND_SHARE
+	controlShare   = wire.ControlKind_CONTROL_KIND_SHARE
+	controlTallies = wire.ControlKind_CONTROL_KIND_TALLIES
 
 	// retryShare is what a first attempt earns of a further one, and retryMost
 	// what is saved up. All daemons together stay below a fifth of the calls.
--- a/internal/node/mesh/upstream.go
+++ b/internal/node/mesh/upstream.go
@@ -30,8 +30,6 @@
 	service func() route.Service
 	// coldPart is the used multiple of a cold upstream's rate.
 	coldPart float64
-	// counted says whether views carry the counts for version moves.
-	counted func() bool
 
 	mu     sync.Mutex
 	keeper *beat.Keeper
@@ -47,7 +45,6 @@
 	return &upstream{
 		clock: clk, log: log,
 		service:  func() route.Service { return route.Service{} },
-		counted:  func() bool { return false },
 		coldPart: 1,
 		keeper:   beat.New(), lane: lane.New(initialSlots), changed: func() {},
 		queued: make(chan struct{}, 1),
@@ -160,14 +157,17 @@
 
 // View implements guard.Admitter.
 func (u *upstream) View(now clock.Milli) call.View {
-	counted := u.counted()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	v := u.lane.View(now)
 	s := u.keeper.Upstream()
 	v.Leaving = v.Leaving || !s.Usable()
-	if counted {
-		v.Tallies = u.lane.Tallies()
-	}
 	return v
 }
+
+// tallies returns the counts by route of the present upstream, and who it is.
+func (u *upstream) tallies() (beat.Upstream, []call.Tally) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.keeper.Upstream(), u.lane.Tallies()
+}
--- a/internal/path/entry/entry.go
+++ b/internal/path/entry/entry.go
@@ -69,7 +69,6 @@
 	record    func(Decision)
 	protocol  Protocol
 	unserved  call.Reason
-	viewed    func(*call.Target, *call.View)
 	held      int64
 	inline    int
 	pickers   func(*rand.Rand) Picker
@@ -92,11 +91,6 @@
 	return func(e *Entry) { e.record = f }
 }
 
-// WithViews sets the receiver of the views that come with responses.
-func WithViews(f func(*call.Target, *call.View)) Option {
-	return func(e *Entry) { e.viewed = f }
-}
-
 // WithBodies sets up to which size a body is read whole before the first
 // attempt, and up to which it travels with the start of the call.
 func WithBodies(held int64, inline int) Option {
@@ -128,7 +122,6 @@
 		record:    func(Decision) {},
 		protocol:  ownProtocol{config: defaultPolicy},
 		unserved:  call.ReasonUnknownService,
-		viewed:    func(*call.Target, *call.View) {},
 		held:      link.MaxInlineBytes,
 		inline:    link.MaxInlineBytes,
 		pickers:   func(r *rand.Rand) Picker { return pick.New(r) },
--- a/internal/path/entry/hedge.go
+++ b/internal/path/entry/hedge.go
@@ -64,7 +64,7 @@
 	won := h.winner == a
 	h.mu.Unlock()
 	if !won {
-		h.tries.done(h.tries.entry.clock.Now(), &a.target, res)
+		h.tries.service.done(h.tries.entry.clock.Now(), a.target.ID, res)
 		a.close()
 	}
 }
@@ -118,7 +118,7 @@
 	if started {
 		<-h.done
 	}
-	t.done(t.entry.clock.Now(), &h.first.target, res)
+	t.service.done(t.entry.clock.Now(), h.first.target.ID, res)
 	h.first.close()
 	if res.Outcome == call.Unknown {
 		t.unknown = true
--- a/internal/path/entry/reply.go
+++ b/internal/path/entry/reply.go
@@ -23,7 +23,7 @@
 		res.Failed = cut != call.ReasonCancelled
 		res.Reason = cut
 	}
-	t.done(now, &a.target, res)
+	t.service.done(now, a.target.ID, res)
 	t.entry.note(d)
 	a.close()
 	if cut != call.ReasonNone {
--- a/internal/path/entry/tries.go
+++ b/internal/path/entry/tries.go
@@ -104,7 +104,7 @@
 		return res, v, true
 	}
 	if !a.hedge || a.head != nil {
-		t.done(now, &a.target, res)
+		t.service.done(now, a.target.ID, res)
 		a.close()
 	}
 	t.last = res
@@ -126,14 +126,6 @@
 	return r == call.ReasonBusy || r == call.ReasonSlowVM || r == call.ReasonCold
 }
 
-// done takes in the end of an attempt.
-func (t *tries) done(now clock.Milli, target *call.Target, res call.Result) {
-	t.service.done(now, target.ID, res)
-	if res.View != nil {
-		t.entry.viewed(target, res.View)
-	}
-}
-
 // another reports whether there is a target that was not tried yet. Only then
 // is a response that reports an error given up for another attempt.
 func (t *tries) another(now clock.Milli) bool {
