canary: judge a version by its last calls too

Cause: a version that fails only under load has a hundred good calls behind it when its share grows; 15 in 100 of all calls since the order came only after the move had ended. And the share grew by time alone, also where cold upstreams kept the version far below it.

Ruled out: a lower bound for all calls since the order (it would still need tens of failures behind a long trial).

The case 'fails at all calls of a busy service' of TestMoves failed before; 'fails under load, cold at first' passes on both, as there the old share was reached at once in virtual time.

--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -29,6 +29,9 @@
 	trialPart = 0.5
 	// stepPart is the part of the time for each later step.
 	stepPart = 0.09
+	// reachedPart is the part of its share that the new version must really get
+	// before the share counts as tried. Cold upstreams get less.
+	reachedPart = 0.6
 	// proofCalls are needed at the new version before its share grows.
 	proofCalls = 12
 	// latestPart is when the share grows even with fewer calls.
@@ -79,8 +82,8 @@
 }
 
 // Observe takes in the counts of an upstream of the service.
-func (m *Move) Observe(target string, incarnation uint64, version string, tallies []call.Tally) {
-	m.evidence.observe(target, incarnation, version == m.order.Version, tallies)
+func (m *Move) Observe(now clock.Milli, target string, incarnation uint64, version string, tallies []call.Tally) {
+	m.evidence.observe(now, target, incarnation, version == m.order.Version, tallies)
 }
 
 // Grown takes over that the share grew at a peer.
@@ -101,7 +104,7 @@
 	if m.phase != Running {
 		return false
 	}
-	if why := m.evidence.bad(); why != "" {
+	if why := m.evidence.bad(now); why != "" {
 		m.phase, m.why = RolledBack, why
 		return true
 	}
@@ -116,12 +119,25 @@
 	return true
 }
 
-// due reports whether the time of the present share is over.
+// due reports whether the present share has been tried enough.
 func (m *Move) due(now clock.Milli) bool {
-	if m.step > 0 {
-		return now-m.stepped >= m.order.Within*stepPart
+	if m.step == 0 {
+		return m.tried(now)
 	}
-	calls := m.evidence.calls(true)
+	age, long := now-m.stepped, m.order.Within*stepPart
+	if age < long {
+		return false
+	}
+	recent := m.evidence.recent(now)
+	if recent.part() >= reachedPart*m.Share() && !recent.doubt() {
+		return true
+	}
+	return m.step < len(steps) && age >= 2*long
+}
+
+// tried reports whether the trial is over.
+func (m *Move) tried(now clock.Milli) bool {
+	calls := m.evidence.since().version(true)[""].calls
 	part := trialPart
 	if calls < proofCalls {
 		part = latestPart
--- a/internal/moves/canary/canary_test.go
+++ b/internal/moves/canary/canary_test.go
@@ -14,8 +14,8 @@
 const (
 	ordered = 1000 * clock.Second
 	within  = 15 * clock.Second
-	// perSecond is the load of the service, tick the time between steps.
-	perSecond = 40.0
+	// usualLoad is in calls a second, tick the time between steps.
+	usualLoad = 40.0
 	tick      = 100 * clock.Millisecond
 	// allowedShare and allowedExtra bound what a bad version may get of all
 	// requests until the move's end.
@@ -32,6 +32,25 @@
 	// a time since the order.
 	fails func(route string, share float64, age clock.Milli) float64
 	slow  float64
+	// perSecond is the load of the service, usualLoad if it is zero.
+	perSecond float64
+	// reached is the part of its share that the version really gets, all of it
+	// if it is nil: cold upstreams refuse calls.
+	reached func(age clock.Milli) float64
+}
+
+func (v *version) load() float64 {
+	if v.perSecond > 0 {
+		return v.perSecond
+	}
+	return usualLoad
+}
+
+func (v *version) part(age clock.Milli) float64 {
+	if v.reached != nil {
+		return v.reached(age)
+	}
+	return 1
 }
 
 // outcome is what a played move led to.
@@ -46,14 +65,14 @@
 // play runs a move against a load on two routes, of which one has a third.
 func play(v version) outcome {
 	m := canary.New(order.Move{Service: "s", Version: "v2", Within: within, Seen: ordered})
-	routes := map[string]float64{"lookup": perSecond * 2 / 3, "booking": perSecond / 3}
+	routes := map[string]float64{"lookup": v.load() * 2 / 3, "booking": v.load() / 3}
 	oldT, newT := map[string]*call.Tally{}, map[string]*call.Tally{}
-	part := map[string]float64{}
+	part, rest := map[string]float64{}, map[string]float64{}
 	var out outcome
 	var bad float64
 	var manyAt clock.Milli
 	for age := clock.Milli(0); age < within; age += tick {
-		share := m.Share()
+		share := m.Share() * v.part(age)
 		for route, rate := range routes {
 			if oldT[route] == nil {
 				oldT[route], newT[route] = &call.Tally{Route: route}, &call.Tally{Route: route}
@@ -67,8 +86,9 @@
 			if manyAt > 0 && age > manyAt+afterBad {
 				out.lateBad += n * share
 			}
-			oldT[route].Calls += uint64(n * 100)
-			oldT[route].Spent += clock.Milli(n*100) * 300
+			rest[route] += n * (1 - share)
+			oldT[route].Calls = uint64(rest[route])
+			oldT[route].Spent = clock.Milli(oldT[route].Calls) * 300
 			calls := uint64(part[route])
 			done := calls - newT[route].Calls
 			newT[route].Calls = calls
@@ -79,8 +99,8 @@
 			manyAt = age
 		}
 		for route := range routes {
-			m.Observe("old", 1, "v1", []call.Tally{*oldT[route]})
-			m.Observe("new", 1, "v2", []call.Tally{*newT[route]})
+			m.Observe(ordered+age, "old", 1, "v1", []call.Tally{*oldT[route]})
+			m.Observe(ordered+age, "new", 1, "v2", []call.Tally{*newT[route]})
 		}
 		if m.Judge(ordered+age) && m.Phase() != canary.Running {
 			out.phase, out.ended = m.Phase(), age
@@ -91,6 +111,32 @@
 
 func never(string, float64, clock.Milli) float64 { return 0 }
 
+func always(string, float64, clock.Milli) float64 { return after(true) }
+
+func from(age clock.Milli) func(string, float64, clock.Milli) float64 {
+	return func(_ string, _ float64, now clock.Milli) float64 { return after(now > age) }
+}
+
+func above(part float64) func(string, float64, clock.Milli) float64 {
+	return func(_ string, share float64, _ clock.Milli) float64 { return after(share > part) }
+}
+
+func halfCold(age clock.Milli) float64 {
+	if age < 5*clock.Second {
+		return 0.5
+	}
+	return 1
+}
+
+func coldUntil(end clock.Milli) func(clock.Milli) float64 {
+	return func(age clock.Milli) float64 {
+		if age < end {
+			return 0.2
+		}
+		return 1
+	}
+}
+
 // Guards against a good version that is not done in time, and a bad one that
 // gets more than its share or calls after its faults were seen.
 func TestMoves(t *testing.T) {
@@ -98,16 +144,21 @@
 		version version
 		want    canary.Phase
 	}{
-		"good":        {version{never, 1}, canary.Succeeded},
-		"a bit slow":  {version{never, 1.7}, canary.Succeeded},
-		"fails":       {version{func(string, float64, clock.Milli) float64 { return 0.5 }, 1}, canary.RolledBack},
-		"slow":        {version{never, 8}, canary.RolledBack},
-		"fails later": {version{func(_ string, _ float64, age clock.Milli) float64 { return after(age > 3000) }, 1}, canary.RolledBack},
-		"fails under load": {
-			version{func(_ string, share float64, _ clock.Milli) float64 { return after(share > 0.4) }, 1}, canary.RolledBack,
+		"good":                {version{fails: never, slow: 1}, canary.Succeeded},
+		"a bit slow":          {version{fails: never, slow: 1.7}, canary.Succeeded},
+		"good, cold at first": {version{fails: never, slow: 1, reached: halfCold}, canary.Succeeded},
+		"fails":               {version{fails: always, slow: 1}, canary.RolledBack},
+		"slow":                {version{fails: never, slow: 8}, canary.RolledBack},
+		"fails later":         {version{fails: from(3 * clock.Second), slow: 1}, canary.RolledBack},
+		"fails under load":    {version{fails: above(0.4), slow: 1}, canary.RolledBack},
+		"fails at all calls of a busy service": {
+			version{fails: above(0.9), slow: 1, perSecond: 75}, canary.RolledBack,
+		},
+		"fails under load, cold at first": {
+			version{fails: above(0.4), slow: 1, reached: coldUntil(12 * clock.Second)}, canary.RolledBack,
 		},
 		"fails on one route": {
-			version{func(route string, _ float64, _ clock.Milli) float64 { return after(route == "booking") }, 1}, canary.RolledBack,
+			version{fails: func(route string, _ float64, _ clock.Milli) float64 { return after(route == "booking") }, slow: 1}, canary.RolledBack,
 		},
 	}
 	for name, tt := range tests {
--- a/internal/moves/canary/evidence.go
+++ b/internal/moves/canary/evidence.go
@@ -4,16 +4,12 @@
 	"fmt"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
-	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 )
 
 const (
-	// fewestFailed and failedShare are the failures of a route at the new
-	// version that speak against it, if its share is also failedMargin above
-	// that at the old version.
+	// fewestFailed is the number of failures at the new version that speak
+	// against it, if their share is high enough and above that at the old one.
 	fewestFailed = 3
-	failedShare  = 0.15
-	failedMargin = 0.1
 	// fewestSlow is the number of calls that are compared, slowRatio the ratio
 	// of mean service times that speaks against the version. VMs with busy
 	// neighbours stay below it.
@@ -21,17 +17,35 @@
 	slowRatio  = 3.0
 )
 
-// sum counts the calls of a route at one version.
+// bounds are the failures of a version that speak against it.
+type bounds struct {
+	// share is that of all its calls, margin how far it is above the share at
+	// the old version.
+	share, margin float64
+	// spread says that failures of a single upstream do not count while
+	// others of the version get calls.
+	spread bool
+}
+
+var (
+	// sinceOrder holds for all calls since the order.
+	sinceOrder = bounds{share: 0.15, margin: 0.1}
+	// lately holds for the last calls: a version that fails only under load has
+	// many good calls behind it.
+	lately = bounds{share: 0.08, margin: 0.05, spread: true}
+)
+
+// sum counts calls at one version.
 type sum struct {
 	calls  uint64
 	failed uint64
 	spent  clock.Milli
 }
 
-func (s *sum) add(t call.Tally) {
-	s.calls += t.Calls
-	s.failed += t.Failed
-	s.spent += t.Spent
+func (s *sum) add(t sum) {
+	s.calls += t.calls
+	s.failed += t.failed
+	s.spent += t.spent
 }
 
 func (s *sum) share() float64 {
@@ -48,77 +62,97 @@
 	return s.spent / clock.Milli(s.calls-s.failed)
 }
 
-type source struct {
-	incarnation uint64
-	isNew       bool
-	tallies     map[string]call.Tally
+// key names what is counted apart.
+type key struct {
+	isNew  bool
+	route  string
+	target string
 }
 
-// evidence keeps the newest counts of each upstream.
-type evidence struct {
-	sources map[string]source
-}
+// counts are the calls of some time.
+type counts map[key]sum
 
-func newEvidence() evidence {
-	return evidence{sources: make(map[string]source)}
+func (c counts) add(k key, s sum) {
+	total := c[k]
+	total.add(s)
+	c[k] = total
 }
 
-func (e *evidence) observe(target string, incarnation uint64, isNew bool, tallies []call.Tally) {
-	s, ok := e.sources[target]
-	if ok && s.incarnation > incarnation {
-		return
-	}
-	if !ok || s.incarnation != incarnation || s.isNew != isNew {
-		s = source{incarnation: incarnation, isNew: isNew, tallies: make(map[string]call.Tally)}
-		e.sources[target] = s
-	}
-	for _, t := range tallies {
-		if t.Calls >= s.tallies[t.Route].Calls {
-			s.tallies[t.Route] = t
-		}
-	}
-}
-
-// sums adds the counts up by route.
-func (e *evidence) sums(isNew bool) map[string]*sum {
-	out := make(map[string]*sum)
-	for _, s := range e.sources {
-		if s.isNew != isNew {
+// version adds the counts of a version up, for each route and, under the empty
+// name, for all of them.
+func (c counts) version(isNew bool) map[string]*sum {
+	out := map[string]*sum{"": {}}
+	for k, s := range c {
+		if k.isNew != isNew {
 			continue
 		}
-		for route, t := range s.tallies {
-			if out[route] == nil {
-				out[route] = new(sum)
-			}
-			out[route].add(t)
+		if out[k.route] == nil {
+			out[k.route] = new(sum)
 		}
+		out[k.route].add(s)
+		out[""].add(s)
 	}
 	return out
 }
 
-func (e *evidence) calls(isNew bool) uint64 {
-	n := uint64(0)
-	for _, s := range e.sums(isNew) {
-		n += s.calls
+// spread reports whether failures of the new version came from more than one
+// upstream, or from the only one that gets calls.
+func (c counts) spread() bool {
+	called, failed := make(map[string]bool), make(map[string]bool)
+	for k, s := range c {
+		if !k.isNew || s.calls == 0 {
+			continue
+		}
+		called[k.target] = true
+		if s.failed > 0 {
+			failed[k.target] = true
+		}
 	}
-	return n
+	return len(failed) > 1 || len(called) == 1
 }
 
 // bad returns what speaks against the new version, empty for nothing.
-func (e *evidence) bad() string {
-	old := e.sums(false)
-	for route, n := range e.sums(true) {
+func (c counts) bad(b bounds) string {
+	old := c.version(false)
+	for route, n := range c.version(true) {
 		o := old[route]
 		if o == nil {
 			o = new(sum)
 		}
-		if n.failed >= fewestFailed && n.share() >= failedShare && n.share() >= o.share()+failedMargin {
-			return fmt.Sprintf("route %s: %d of %d calls failed, %d of %d at other versions", route, n.failed, n.calls, o.failed, o.calls)
+		if b.failing(n, o) && (!b.spread || c.spread()) {
+			return fmt.Sprintf("%s: %d of %d calls failed, %d of %d at other versions", named(route), n.failed, n.calls, o.failed, o.calls)
 		}
 		ok, base := n.calls-n.failed, o.calls-o.failed
 		if ok >= fewestSlow && base >= fewestSlow && n.mean() > slowRatio*o.mean() {
-			return fmt.Sprintf("route %s: calls take %.0f ms, %.0f ms at other versions", route, float64(n.mean()), float64(o.mean()))
+			return fmt.Sprintf("%s: calls take %.0f ms, %.0f ms at other versions", named(route), float64(n.mean()), float64(o.mean()))
 		}
 	}
 	return ""
 }
+
+func (b *bounds) failing(n, o *sum) bool {
+	return n.failed >= fewestFailed && n.share() >= b.share && n.share() >= o.share()+b.margin
+}
+
+func named(route string) string {
+	if route == "" {
+		return "all routes"
+	}
+	return "route " + route
+}
+
+// doubt reports whether the new version fails more often than the old one,
+// though perhaps not often enough to take it back.
+func (c counts) doubt() bool {
+	n, o := c.version(true)[""], c.version(false)[""]
+	return n.failed > 0 && n.share() > o.share()+lately.margin
+}
+
+// part is the new version's part of the calls.
+func (c counts) part() float64 {
+	n, o := c.version(true)[""], c.version(false)[""]
+	if n.calls == 0 {
+		return 0
+	}
+	return float64(n.calls) / float64(n.calls+o.calls)
+}
--- /dev/null
+++ b/internal/moves/canary/window.go
@@ -0,0 +1,113 @@
+package canary
+
+import (
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+)
+
+const (
+	// recentTime is how far back the last calls reach. A few calls fit in, also
+	// while the new version gets one in ten.
+	recentTime = 2 * clock.Second
+	// sliceTime is the resolution of recentTime.
+	sliceTime = 200 * clock.Millisecond
+)
+
+// source is the newest report of an upstream.
+type source struct {
+	incarnation uint64
+	isNew       bool
+	totals      map[string]sum
+}
+
+// slice holds the calls of a short time.
+type slice struct {
+	from  clock.Milli
+	calls counts
+}
+
+// evidence turns the totals that guards report into the calls since the order
+// and the last ones.
+type evidence struct {
+	sources map[string]source
+	slices  []slice
+}
+
+func newEvidence() evidence {
+	return evidence{sources: make(map[string]source)}
+}
+
+// observe takes in the totals of an upstream. Those of a restarted guard begin
+// at zero again.
+func (e *evidence) observe(now clock.Milli, target string, incarnation uint64, isNew bool, tallies []call.Tally) {
+	s, known := e.sources[target]
+	if known && s.incarnation > incarnation {
+		return
+	}
+	restarted := known && s.incarnation != incarnation
+	if !known || restarted || s.isNew != isNew {
+		s = source{incarnation: incarnation, isNew: isNew, totals: make(map[string]sum)}
+		e.sources[target] = s
+	}
+	calls := e.slice(now)
+	for _, t := range tallies {
+		total, old := sum{calls: t.Calls, failed: t.Failed, spent: t.Spent}, s.totals[t.Route]
+		s.totals[t.Route] = total
+		if total.calls < old.calls {
+			old = sum{}
+		}
+		// The first report of a guard may cover a long time.
+		if known {
+			calls.add(key{isNew, t.Route, target}, sum{
+				calls: total.calls - old.calls, failed: total.failed - old.failed, spent: total.spent - old.spent,
+			})
+		}
+	}
+}
+
+// slice returns the counts of the present short time.
+func (e *evidence) slice(now clock.Milli) counts {
+	if n := len(e.slices); n == 0 || now-e.slices[n-1].from >= sliceTime {
+		e.slices = append(e.slices, slice{from: now, calls: make(counts)})
+	}
+	for now-e.slices[0].from > recentTime {
+		e.slices = e.slices[1:]
+	}
+	return e.slices[len(e.slices)-1].calls
+}
+
+// since returns the calls of the upstreams since the order.
+func (e *evidence) since() counts {
+	out := make(counts)
+	for target, s := range e.sources {
+		for route, total := range s.totals {
+			out.add(key{s.isNew, route, target}, total)
+		}
+	}
+	return out
+}
+
+// recent returns the last calls.
+func (e *evidence) recent(now clock.Milli) counts {
+	out := make(counts)
+	for _, s := range e.slices {
+		if now-s.from > recentTime {
+			continue
+		}
+		for k, c := range s.calls {
+			out.add(k, c)
+		}
+	}
+	return out
+}
+
+// bad returns what speaks against the new version, empty for nothing.
+func (e *evidence) bad(now clock.Milli) string {
+	if why := e.since().bad(sinceOrder); why != "" {
+		return why
+	}
+	if why := e.recent(now).bad(lately); why != "" {
+		return "lately, " + why
+	}
+	return ""
+}
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -108,7 +108,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if s := m.services[r.GetService()]; s != nil {
-		s.move.Observe(r.GetTarget(), r.GetIncarnation(), r.GetVersion(), link.DecodeTallies(r.GetTallies()))
+		s.move.Observe(m.clock.Now(), r.GetTarget(), r.GetIncarnation(), r.GetVersion(), link.DecodeTallies(r.GetTallies()))
 	}
 }
 
