canary: give the new version's share to few of its upstreams

Cause: a trial share of 8 in 100 over eight upstreams loads none of them, so a version that fails only under load shows it when it has nearly all requests, and then a second of traffic is over what it may get.

Ruled out: smaller steps alone (the last one is to all requests anyway).

--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -129,7 +129,7 @@
 		return false
 	}
 	recent := m.evidence.recent(now)
-	if recent.part() >= reachedPart*m.Share() && !recent.doubt() {
+	if recent.part() >= reachedPart*m.Share() && !recent.doubt(m.evidence.upstreams()) {
 		return true
 	}
 	return m.step < len(steps) && age >= 2*long
--- a/internal/moves/canary/canary_test.go
+++ b/internal/moves/canary/canary_test.go
@@ -200,3 +200,8 @@
 	g.Expect(m.Phase()).To(Equal(canary.RolledBack))
 	g.Expect(m.Share()).To(BeZero())
 }
+
+// tally counts the calls of one route.
+func tally(calls, failed uint64) []call.Tally {
+	return []call.Tally{{Route: "r", Calls: calls, Failed: failed, Spent: clock.Milli(calls-failed) * 300}}
+}
--- a/internal/moves/canary/evidence.go
+++ b/internal/moves/canary/evidence.go
@@ -22,9 +22,6 @@
 	// share is that of all its calls, margin how far it is above the share at
 	// the old version.
 	share, margin float64
-	// spread says that failures of a single upstream do not count while
-	// others of the version get calls.
-	spread bool
 }
 
 var (
@@ -32,7 +29,7 @@
 	sinceOrder = bounds{share: 0.15, margin: 0.1}
 	// lately holds for the last calls: a version that fails only under load has
 	// many good calls behind it.
-	lately = bounds{share: 0.08, margin: 0.05, spread: true}
+	lately = bounds{share: 0.08, margin: 0.05}
 )
 
 // sum counts calls at one version.
@@ -96,30 +93,28 @@
 }
 
 // spread reports whether failures of the new version came from more than one
-// upstream, or from the only one that gets calls.
-func (c counts) spread() bool {
-	called, failed := make(map[string]bool), make(map[string]bool)
+// of its upstreams, or from the only one.
+func (c counts) spread(upstreams int) bool {
+	failed := make(map[string]bool)
 	for k, s := range c {
-		if !k.isNew || s.calls == 0 {
-			continue
-		}
-		called[k.target] = true
-		if s.failed > 0 {
+		if k.isNew && s.failed > 0 {
 			failed[k.target] = true
 		}
 	}
-	return len(failed) > 1 || len(called) == 1
+	return len(failed) >= min(2, max(1, upstreams))
 }
 
-// bad returns what speaks against the new version, empty for nothing.
-func (c counts) bad(b bounds) string {
+// bad returns what speaks against the new version with a number of upstreams,
+// empty for nothing. One failing upstream is not the version's fault.
+func (c counts) bad(b bounds, upstreams int) string {
+	spread := c.spread(upstreams)
 	old := c.version(false)
 	for route, n := range c.version(true) {
 		o := old[route]
 		if o == nil {
 			o = new(sum)
 		}
-		if b.failing(n, o) && (!b.spread || c.spread()) {
+		if spread && b.failing(n, o) {
 			return fmt.Sprintf("%s: %d of %d calls failed, %d of %d at other versions", named(route), n.failed, n.calls, o.failed, o.calls)
 		}
 		ok, base := n.calls-n.failed, o.calls-o.failed
@@ -141,11 +136,11 @@
 	return "route " + route
 }
 
-// doubt reports whether the new version fails more often than the old one,
+// doubt reports whether the new version seems to fail more often than the old one,
 // though perhaps not often enough to take it back.
-func (c counts) doubt() bool {
+func (c counts) doubt(upstreams int) bool {
 	n, o := c.version(true)[""], c.version(false)[""]
-	return n.failed > 0 && n.share() > o.share()+lately.margin
+	return c.spread(upstreams) && n.share() > o.share()+lately.margin
 }
 
 // part is the new version's part of the calls.
--- a/internal/moves/canary/window.go
+++ b/internal/moves/canary/window.go
@@ -103,11 +103,23 @@
 
 // bad returns what speaks against the new version, empty for nothing.
 func (e *evidence) bad(now clock.Milli) string {
-	if why := e.since().bad(sinceOrder); why != "" {
+	upstreams := e.upstreams()
+	if why := e.since().bad(sinceOrder, upstreams); why != "" {
 		return why
 	}
-	if why := e.recent(now).bad(lately); why != "" {
+	if why := e.recent(now).bad(lately, upstreams); why != "" {
 		return "lately, " + why
 	}
 	return ""
 }
+
+// upstreams is the number of the new version's upstreams.
+func (e *evidence) upstreams() int {
+	n := 0
+	for _, s := range e.sources {
+		if s.isNew {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/node/mesh/gate.go
+++ b/internal/node/mesh/gate.go
@@ -15,11 +15,13 @@
 	if n.book.Orders().Out[n.settings.Centre] {
 		return call.ReasonCentreOut
 	}
-	v := n.moves.versions(r.Service)
+	v := n.moves.versions(now, r.Service)
 	if v == nil || !v.final {
 		return call.ReasonNone
 	}
-	if !v.allow(n.upstream.state().Version, v.share > 0) {
+	own := n.self
+	own.Version = n.upstream.state().Version
+	if !v.allow(&own, v.share > 0) {
 		return call.ReasonVersionBraked
 	}
 	return call.ReasonNone
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -85,16 +85,29 @@
 
 // versions returns how the requests of a service are spread, nil if all
 // upstreams may serve them.
-func (m *moves) versions(service string) *versions {
+func (m *moves) versions(now clock.Milli, service string) *versions {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.services[service]
 	if s == nil {
 		return nil
 	}
-	return &versions{
-		to: s.move.Order().Version, share: s.move.Share(), final: s.move.Phase() != canary.Running,
+	v := &versions{to: s.move.Order().Version, share: s.move.Share(), final: s.move.Phase() != canary.Running}
+	if !v.final {
+		v.chosen = s.move.Subset(now, m.upstreams(service, v.to))
 	}
+	return v
+}
+
+// upstreams returns the daemons beside the upstreams of a version.
+func (m *moves) upstreams(service, version string) []string {
+	var out []string
+	for _, t := range m.table.Targets(service) {
+		if t.Version == version {
+			out = append(out, t.ID)
+		}
+	}
+	return out
 }
 
 // judge reports whether this daemon is one of those that get the counts of all
--- a/internal/node/mesh/moves_test.go
+++ b/internal/node/mesh/moves_test.go
@@ -93,9 +93,9 @@
 	ids := []string{"a", "b"}
 	from, to := newTestTallier(net, "a", ids), newTestTallier(net, "b", ids)
 	now := from.moves.clock.Now()
-	before := to.moves.versions(moveService).share
+	before := to.moves.versions(now, moveService).share
 	from.moves.services[moveService].move.Grown(2, now)
 	to.moves.merge(now, from.moves.encode(now))
-	g.Expect(to.moves.versions(moveService).share).To(BeNumerically(">", before))
-	g.Expect(to.moves.versions(moveService).share).To(Equal(from.moves.versions(moveService).share))
+	g.Expect(to.moves.versions(now, moveService).share).To(BeNumerically(">", before))
+	g.Expect(to.moves.versions(now, moveService).share).To(Equal(from.moves.versions(now, moveService).share))
 }
--- a/internal/node/mesh/rules.go
+++ b/internal/node/mesh/rules.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
@@ -25,7 +27,7 @@
 // Allow implements entry.Rules.
 func (r *rules) Allow(now clock.Milli, req *call.Request) (func(*call.Target) bool, call.Reason) {
 	out := r.book.Orders().Out
-	versions := r.moves.versions(req.Service)
+	versions := r.moves.versions(now, req.Service)
 	if len(out) == 0 && versions == nil {
 		return nil, call.ReasonNone
 	}
@@ -35,14 +37,14 @@
 		reason = call.ReasonCentreOut
 	}
 	return func(t *call.Target) bool {
-		return !out[t.Centre] && (versions == nil || versions.allow(t.Version, moved))
+		return !out[t.Centre] && (versions == nil || versions.allow(t, moved))
 	}, reason
 }
 
 // Fallback implements entry.Rules. A request of the new version's share that
 // finds no such upstream goes to the others.
 func (r *rules) Fallback(now clock.Milli, req *call.Request) func(*call.Target) bool {
-	versions := r.moves.versions(req.Service)
+	versions := r.moves.versions(now, req.Service)
 	if versions == nil || versions.final {
 		return nil
 	}
@@ -56,10 +58,17 @@
 type versions struct {
 	to    string
 	share float64
+	// chosen are the daemons whose upstreams get the new version's requests.
+	chosen []string
 	// final is set once the move has ended.
 	final bool
 }
 
-func (v *versions) allow(version string, moved bool) bool {
-	return (version == v.to) == moved
+// allow reports whether a target may get a request of the new version's share,
+// or one of the others.
+func (v *versions) allow(t *call.Target, moved bool) bool {
+	if (t.Version == v.to) != moved {
+		return false
+	}
+	return v.final || !moved || slices.Contains(v.chosen, t.ID)
 }
--- a/internal/node/mesh/tallies.go
+++ b/internal/node/mesh/tallies.go
@@ -72,7 +72,7 @@
 // Counts are totals, so a lost report costs nothing but time.
 func (t *tallier) report(ctx context.Context) {
 	r := t.count()
-	if r == nil {
+	if r.GetTarget() == "" {
 		return
 	}
 	payload, err := proto.Marshal(r)
@@ -93,12 +93,10 @@
 	}
 }
 
-// count returns nil where nothing was counted.
+// count returns what was counted. The judges should know upstreams without
+// calls too.
 func (t *tallier) count() *wire.TallyReport {
 	u, tallies := t.upstream.tallies()
-	if u.Instance == "" || len(tallies) == 0 {
-		return nil
-	}
 	return &wire.TallyReport{
 		Service: t.service, Version: u.Version, Target: u.Instance, Incarnation: t.since, Tallies: link.EncodeTallies(tallies),
 	}
