canary: compare a version with the old one by route

Now the last calls are compared with the old version's last ones, or with all since the order where those are few; a route that the old version never served says nothing. What a restarted guard had counted is kept.

Ruled out: upstreams' answers of 504 counted as no failure (slow versions show by them).

--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -128,8 +128,7 @@
 	if age < long {
 		return false
 	}
-	recent := m.evidence.recent(now)
-	if recent.part() >= reachedPart*m.Share() && !recent.doubt(m.evidence.upstreams()) {
+	if m.evidence.recent(now).part() >= reachedPart*m.Share() && !m.evidence.doubt(now) {
 		return true
 	}
 	return m.step < len(steps) && age >= 2*long
--- a/internal/moves/canary/evidence.go
+++ b/internal/moves/canary/evidence.go
@@ -10,11 +10,11 @@
 	// fewestFailed is the number of failures at the new version that speak
 	// against it, if their share is high enough and above that at the old one.
 	fewestFailed = 3
-	// fewestSlow is the number of calls that are compared, slowRatio the ratio
-	// of mean service times that speaks against the version. VMs with busy
-	// neighbours stay below it.
-	fewestSlow = 6
-	slowRatio  = 3.0
+	// fewestCompared is the number of calls that are worth a comparison.
+	fewestCompared = 6
+	// slowRatio is the ratio of mean service times that speaks against the new
+	// version. VMs with busy neighbours stay below it.
+	slowRatio = 3.0
 )
 
 // bounds are the failures of a version that speak against it.
@@ -105,20 +105,20 @@
 }
 
 // bad returns what speaks against the new version with a number of upstreams,
-// empty for nothing. One failing upstream is not the version's fault.
-func (c counts) bad(b bounds, upstreams int) string {
+// compared with the old one's calls by route; it is empty for nothing. One
+// failing upstream is not the version's fault.
+func (c counts) bad(b bounds, upstreams int, old map[string]*sum) string {
 	spread := c.spread(upstreams)
-	old := c.version(false)
 	for route, n := range c.version(true) {
 		o := old[route]
 		if o == nil {
-			o = new(sum)
+			continue
 		}
 		if spread && b.failing(n, o) {
 			return fmt.Sprintf("%s: %d of %d calls failed, %d of %d at other versions", named(route), n.failed, n.calls, o.failed, o.calls)
 		}
 		ok, base := n.calls-n.failed, o.calls-o.failed
-		if ok >= fewestSlow && base >= fewestSlow && n.mean() > slowRatio*o.mean() {
+		if ok >= fewestCompared && base >= fewestCompared && n.mean() > slowRatio*o.mean() {
 			return fmt.Sprintf("%s: calls take %.0f ms, %.0f ms at other versions", named(route), float64(n.mean()), float64(o.mean()))
 		}
 	}
@@ -129,6 +129,19 @@
 	return n.failed >= fewestFailed && n.share() >= b.share && n.share() >= o.share()+b.margin
 }
 
+// baseline returns the old version's calls to compare the last ones with: its
+// own last ones where there are enough, else all since the order.
+func baseline(since, recent map[string]*sum) map[string]*sum {
+	out := make(map[string]*sum, len(since))
+	for route, s := range since {
+		out[route] = s
+		if r := recent[route]; r != nil && r.calls >= fewestCompared {
+			out[route] = r
+		}
+	}
+	return out
+}
+
 func named(route string) string {
 	if route == "" {
 		return "all routes"
@@ -136,10 +149,10 @@
 	return "route " + route
 }
 
-// doubt reports whether the new version seems to fail more often than the old one,
-// though perhaps not often enough to take it back.
-func (c counts) doubt(upstreams int) bool {
-	n, o := c.version(true)[""], c.version(false)[""]
+// doubt reports whether the new version seems to fail more often than the old
+// one, though perhaps not often enough to take it back.
+func (c counts) doubt(upstreams int, old map[string]*sum) bool {
+	n, o := c.version(true)[""], old[""]
 	return c.spread(upstreams) && n.share() > o.share()+lately.margin
 }
 
--- a/internal/moves/canary/subset_test.go
+++ b/internal/moves/canary/subset_test.go
@@ -7,6 +7,7 @@
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/canary"
 )
 
@@ -55,3 +56,42 @@
 	m.Judge(now)
 	g.Expect(m.Phase()).To(Equal(canary.RolledBack))
 }
+
+// Guards against a good version that is taken back for a route on which the old
+// version failed too, or on which it had no calls.
+func TestRouteThatFailsAnyway(t *testing.T) {
+	tests := map[string]struct {
+		old []call.Tally
+	}{
+		"failed before": {[]call.Tally{{Route: "r", Calls: 50, Spent: 15000}, {Route: "broken", Calls: 20, Failed: 20}}},
+		"no calls":      {[]call.Tally{{Route: "r", Calls: 50, Spent: 15000}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := canary.New(order.Move{Version: "v2", Within: within, Seen: ordered})
+			for now := ordered; now < ordered+5*clock.Second; now += tick {
+				m.Observe(now, "old", 1, "v1", tt.old)
+				calls := uint64((now - ordered) / tick)
+				m.Observe(now, "new", 1, "v2", []call.Tally{
+					{Route: "r", Calls: 20 * calls, Spent: clock.Milli(20*calls) * 300},
+					{Route: "broken", Calls: calls, Failed: calls},
+				})
+				m.Judge(now)
+			}
+			g.Expect(m.Phase()).To(Equal(canary.Running))
+		})
+	}
+}
+
+// Guards against evidence that is lost with a restarted guard.
+func TestRestartedGuard(t *testing.T) {
+	g := NewWithT(t)
+	m := canary.New(order.Move{Version: "v2", Within: within, Seen: ordered})
+	m.Observe(ordered, "old", 1, "v1", tally(100, 0))
+	for incarnation := uint64(1); incarnation <= 3; incarnation++ {
+		m.Observe(ordered, "new", incarnation, "v2", tally(4, 1))
+	}
+	g.Expect(m.Judge(ordered)).To(BeTrue())
+	g.Expect(m.Phase()).To(Equal(canary.RolledBack))
+}
--- a/internal/moves/canary/window.go
+++ b/internal/moves/canary/window.go
@@ -1,6 +1,8 @@
 package canary
 
 import (
+	"maps"
+
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 )
@@ -30,11 +32,13 @@
 // and the last ones.
 type evidence struct {
 	sources map[string]source
-	slices  []slice
+	// past has what restarted guards had counted before.
+	past   counts
+	slices []slice
 }
 
 func newEvidence() evidence {
-	return evidence{sources: make(map[string]source)}
+	return evidence{sources: make(map[string]source), past: make(counts)}
 }
 
 // observe takes in the totals of an upstream. Those of a restarted guard begin
@@ -44,8 +48,8 @@
 	if known && s.incarnation > incarnation {
 		return
 	}
-	restarted := known && s.incarnation != incarnation
-	if !known || restarted || s.isNew != isNew {
+	if !known || s.incarnation != incarnation || s.isNew != isNew {
+		e.keep(target, s)
 		s = source{incarnation: incarnation, isNew: isNew, totals: make(map[string]sum)}
 		e.sources[target] = s
 	}
@@ -53,18 +57,25 @@
 	for _, t := range tallies {
 		total, old := sum{calls: t.Calls, failed: t.Failed, spent: t.Spent}, s.totals[t.Route]
 		s.totals[t.Route] = total
+		k := key{isNew, t.Route, target}
 		if total.calls < old.calls {
+			e.past.add(k, old)
 			old = sum{}
 		}
 		// The first report of a guard may cover a long time.
 		if known {
-			calls.add(key{isNew, t.Route, target}, sum{
-				calls: total.calls - old.calls, failed: total.failed - old.failed, spent: total.spent - old.spent,
-			})
+			calls.add(k, sum{calls: total.calls - old.calls, failed: total.failed - old.failed, spent: total.spent - old.spent})
 		}
 	}
 }
 
+// keep puts the totals of a guard that was restarted to those of the past.
+func (e *evidence) keep(target string, s source) {
+	for route, total := range s.totals {
+		e.past.add(key{s.isNew, route, target}, total)
+	}
+}
+
 // slice returns the counts of the present short time.
 func (e *evidence) slice(now clock.Milli) counts {
 	if n := len(e.slices); n == 0 || now-e.slices[n-1].from >= sliceTime {
@@ -78,7 +89,7 @@
 
 // since returns the calls of the upstreams since the order.
 func (e *evidence) since() counts {
-	out := make(counts)
+	out := maps.Clone(e.past)
 	for target, s := range e.sources {
 		for route, total := range s.totals {
 			out.add(key{s.isNew, route, target}, total)
@@ -103,16 +114,25 @@
 
 // bad returns what speaks against the new version, empty for nothing.
 func (e *evidence) bad(now clock.Milli) string {
-	upstreams := e.upstreams()
-	if why := e.since().bad(sinceOrder, upstreams); why != "" {
+	since, upstreams := e.since(), e.upstreams()
+	if why := since.bad(sinceOrder, upstreams, since.version(false)); why != "" {
 		return why
 	}
-	if why := e.recent(now).bad(lately, upstreams); why != "" {
+	if why := e.recent(now).bad(lately, upstreams, e.baseline(now)); why != "" {
 		return "lately, " + why
 	}
 	return ""
 }
 
+// doubt reports whether the last calls raise doubt about the new version.
+func (e *evidence) doubt(now clock.Milli) bool {
+	return e.recent(now).doubt(e.upstreams(), e.baseline(now))
+}
+
+func (e *evidence) baseline(now clock.Milli) map[string]*sum {
+	return baseline(e.since().version(false), e.recent(now).version(false))
+}
+
 // upstreams is the number of the new version's upstreams.
 func (e *evidence) upstreams() int {
 	n := 0
