feed: bound how long a read of the orders waits

Cause: a waiting read whose answer the store loses hangs until its 25 s are over or a peer knows more; where all daemons' answers are lost no peer does.

Now one of all daemons, by turns of random length, reads the orders anew every half second, and the others learn from it.

TestWaitingReadIsLost fails without the bound.

--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// readWait is how long the store may hold a read back until a record
+	// longestWait is how long the store may hold a read back until a record
 	// arrives. Each read has a price, so it is long.
-	readWait = 25 * clock.Second
+	longestWait = 25 * clock.Second
 	// defaultBatchPause is the pause after a read, in which further records gather.
 	defaultBatchPause = 400 * clock.Millisecond
 	// firstRetry and lastRetry bound the pauses while the store is away. A
@@ -46,6 +46,7 @@
 	log        zerolog.Logger
 	from       int64
 	batchPause clock.Milli
+	readWait   func() clock.Milli
 	// unsure is set until a read that does not wait found nothing new.
 	unsure bool
 	kick   chan struct{}
@@ -66,12 +67,21 @@
 	return func(f *Follower) { f.batchPause = d }
 }
 
+// WithReadWait sets how long a read may wait for records, at most 25 s. A read
+// whose answer was lost ends only then.
+func WithReadWait(wait func() clock.Milli) Option {
+	return func(f *Follower) { f.readWait = wait }
+}
+
 // Unread is an offset that makes a follower read the whole topic first.
 const Unread = -1
 
 // NewFollower returns a follower of a topic.
 func NewFollower(s Store, topic string, sink Sink, log zerolog.Logger, opts ...Option) *Follower {
-	f := &Follower{store: s, topic: topic, sink: sink, log: log, from: Unread, batchPause: defaultBatchPause, kick: make(chan struct{}, 1)}
+	f := &Follower{
+		store: s, topic: topic, sink: sink, log: log, from: Unread, batchPause: defaultBatchPause,
+		readWait: func() clock.Milli { return longestWait }, kick: make(chan struct{}, 1),
+	}
 	for _, o := range opts {
 		o(f)
 	}
@@ -152,7 +162,7 @@
 // last answer.
 func (f *Follower) read(ctx context.Context, from int64) (Batch, error) {
 	if !f.unsure {
-		return f.store.Read(ctx, f.topic, from, readWait)
+		return f.store.Read(ctx, f.topic, from, min(longestWait, f.readWait()))
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerWithin.Duration())
 	defer cancel()
--- a/internal/conf/feed/follow_test.go
+++ b/internal/conf/feed/follow_test.go
@@ -139,10 +139,10 @@
 	}
 }
 
-func follow(t *testing.T, s *topic) (*feed.Follower, *sink) {
+func follow(t *testing.T, s *topic, opts ...feed.Option) (*feed.Follower, *sink) {
 	t.Helper()
 	out := &sink{values: map[string]string{}}
-	f := feed.NewFollower(s, "t", out, zerolog.Nop())
+	f := feed.NewFollower(s, "t", out, zerolog.Nop(), opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- f.Serve(ctx) }()
@@ -213,6 +213,20 @@
 	}
 }
 
+// Guards against a waiting read whose answer was lost, and which nothing ends.
+func TestWaitingReadIsLost(t *testing.T) {
+	g := NewWithT(t)
+	s := newTopic()
+	s.add("k", "old")
+	_, out := follow(t, s, feed.WithReadWait(func() clock.Milli { return clock.Second }))
+	g.Eventually(out.value("k"), time.Second).Should(Equal("old"))
+	s.set(func(s *topic) { s.hang = true })
+	s.add("k", "new")
+	time.Sleep(20 * time.Millisecond)
+	s.set(func(s *topic) { s.hang = false })
+	g.Eventually(out.value("k"), backWithin, 10*time.Millisecond).Should(Equal("new"))
+}
+
 // Guards against a follower that asks the store all the time: each call has a
 // price.
 func TestCallsAreFew(t *testing.T) {
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -160,7 +160,7 @@
 // serve makes the parts that run in the background.
 func (n *Node) serve() {
 	p := n.platform
-	n.orders = feed.NewFollower(n.store, p.Topics().Orders, orderSink{book: n.book}, n.log)
+	n.orders = feed.NewFollower(n.store, p.Topics().Orders, orderSink{book: n.book}, n.log, feed.WithReadWait(n.ordersWait))
 	n.share = &sharer{
 		clock: n.clock, log: n.log, pool: n.pool, table: n.table, book: n.book, moves: n.moves,
 		orders: n.orders, self: n.announce.record,
--- a/internal/node/mesh/sinks.go
+++ b/internal/node/mesh/sinks.go
@@ -1,13 +1,25 @@
 package mesh
 
 import (
+	"math/rand/v2"
+
 	"github.com/rs/zerolog"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
 )
 
+const (
+	// ordersAge is how often, on average, one of all daemons reads the orders
+	// anew, though the store told of none: answers of the store may be lost to
+	// all of them, and the one that learns more tells its peers.
+	ordersAge = 500 * clock.Millisecond
+	// ordersSpread keeps daemons that started together from reading together.
+	ordersSpread = 0.5
+)
+
 // orderSink passes the operators' records to the book.
 type orderSink struct {
 	book *order.Book
@@ -66,3 +78,10 @@
 	}
 	return out
 }
+
+// ordersWait is how long a read of the orders may wait for new ones. All
+// daemons share the work.
+func (n *Node) ordersWait() clock.Milli {
+	spread := 1 + ordersSpread*(rand.Float64()-0.5)
+	return ordersAge * clock.Milli(float64(len(n.table.Live()))*spread)
+}
