mesh: judge version moves apart from what the store has of them

Cause: the loop that judges also read and wrote statuses, so a silent store held it up for 1.5 s at a time, after a restart at each turn.

Ruled out: shorter timeouts (a slow store would then never be read).

TestJudgeWithoutStore failed first.

--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -9,7 +9,6 @@
 	"github.com/rs/zerolog"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
-	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/canary"
@@ -21,13 +20,6 @@
 const (
 	// stepInterval is the time between looks at the evidence.
 	stepInterval = 100 * clock.Millisecond
-	// turn is how long a daemon waits for each one before it, in order of ids,
-	// to write the end of a move.
-	turn = 700 * clock.Millisecond
-	// statusTimeout bounds the calls that write a status.
-	statusTimeout = clock.Second
-	// statusRetry is the pause after a failure to write a status.
-	statusRetry = 500 * clock.Millisecond
 )
 
 // writtenBit marks a phase whose status is known to be in the store.
@@ -45,19 +37,15 @@
 
 // moves follow the version moves that operators ordered.
 type moves struct {
-	self     string
-	clock    clock.Clock
-	log      zerolog.Logger
-	platform Platform
-	store    feed.Store
-	table    *peers.Table
+	self  string
+	clock clock.Clock
+	log   zerolog.Logger
+	table *peers.Table
 	// push tells all peers about an ended move.
 	push func()
 
 	mu       sync.Mutex
 	services map[string]*moveState
-	// restored is set once the statuses of earlier daemons were read.
-	restored bool
 }
 
 // ordered takes in the orders in force.
@@ -139,14 +127,9 @@
 			return ctx.Err()
 		case <-t.C:
 		}
-		m.recall(ctx)
-		now := m.clock.Now()
-		if m.step(now) {
+		if m.step(m.clock.Now()) {
 			m.push()
 		}
-		for _, s := range m.due(now) {
-			m.write(ctx, s)
-		}
 	}
 }
 
--- a/internal/node/mesh/moves_test.go
+++ b/internal/node/mesh/moves_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
@@ -18,7 +21,11 @@
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
 
-const moveService = "s"
+const (
+	moveService = "s"
+	// fewFailures are enough to take a version back.
+	fewFailures = 4
+)
 
 // loopNet hands control messages to the daemons of a test.
 type loopNet map[string]*tallier
@@ -99,3 +106,38 @@
 	g.Expect(to.moves.versions(now, moveService).share).To(BeNumerically(">", before))
 	g.Expect(to.moves.versions(now, moveService).share).To(Equal(from.moves.versions(now, moveService).share))
 }
+
+// deafStore never answers.
+type deafStore struct{ feed.Store }
+
+func (deafStore) Newest(ctx context.Context, _ string) (feed.Batch, error) {
+	<-ctx.Done()
+	return feed.Batch{}, ctx.Err()
+}
+
+// namedTopics is a platform that only has topics.
+type namedTopics struct{ Platform }
+
+func (namedTopics) Topics() Topics { return Topics{Status: "status"} }
+
+// Guards against a bad version that keeps its calls while the store is silent.
+func TestJudgeWithoutStore(t *testing.T) {
+	g := NewWithT(t)
+	d := newTestTallier(loopNet{}, "a", []string{"a"})
+	w := &statuses{moves: d.moves, platform: namedTopics{}, store: deafStore{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	go func() { ended <- d.moves.Serve(ctx) }()
+	go func() { ended <- w.Serve(ctx) }()
+	time.Sleep(2 * stepInterval.Duration())
+	for i := range fewFailures {
+		d.fail(byte(i))
+	}
+	d.report(ctx)
+	share := func() float64 { return d.moves.versions(d.moves.clock.Now(), moveService).share }
+	g.Eventually(share, 4*stepInterval.Duration()).Should(BeZero())
+	cancel()
+	for range cap(ended) {
+		g.Expect(errors.Is(<-ended, context.Canceled)).To(BeTrue())
+	}
+}
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -51,6 +51,7 @@
 	links    *links
 	share    *sharer
 	tallies  *tallier
+	statuses *statuses
 	orders   *feed.Follower
 	members  *feed.Follower
 	health   *health
@@ -114,7 +115,7 @@
 	n.pool = link.NewPool(n.identity(), n.clock, link.WithTiming(linkTiming))
 	n.book = order.NewBook(p.DecodeOrder, n.clock, n.log)
 	n.moves = &moves{
-		self: n.self.ID, clock: n.clock, log: n.log, platform: p, store: n.store, table: n.table,
+		self: n.self.ID, clock: n.clock, log: n.log, table: n.table,
 		services: make(map[string]*moveState),
 	}
 	n.book.Subscribe(n.moves.ordered)
@@ -167,6 +168,7 @@
 	}
 	n.moves.push = func() { n.share.push(context.Background()) }
 	n.tallies = newTallier(n)
+	n.statuses = &statuses{moves: n.moves, platform: p, store: n.store}
 	n.links = newLinks(n.self.ID, n.clock, n.log, n.pool, n.table)
 	n.links.opened = n.share.compare
 	n.peer = &peerServer{server: link.NewServer(n.identity(), n.clock,
@@ -206,7 +208,7 @@
 		Timeout:   time.Second,
 	})
 	for _, s := range []suture.Service{
-		n.peer, n.callers, n.control, n.probes, n.metrics, n.guard, n.orders, n.members, n.links, n.share, n.announce, n.health, n.moves, n.tallies,
+		n.peer, n.callers, n.control, n.probes, n.metrics, n.guard, n.orders, n.members, n.links, n.share, n.announce, n.health, n.moves, n.tallies, n.statuses,
 	} {
 		sup.Add(s)
 	}
