--- a/internal/moves/canary/evidence.go
+++ b/internal/moves/canary/evidence.go
@@ -15,6 +15,9 @@
 	// slowRatio is the ratio of mean service times that speaks against the new
 	// version. VMs with busy neighbours stay below it.
 	slowRatio = 3.0
+	// slowMargin is the least difference of mean service times that counts, as
+	// short calls vary by a few milliseconds.
+	slowMargin = 20 * clock.Millisecond
 )
 
 // bounds are the failures of a version that speak against it.
@@ -117,8 +120,7 @@
 		if spread && b.failing(n, o) {
 			return fmt.Sprintf("%s: %d of %d calls failed, %d of %d at other versions", named(route), n.failed, n.calls, o.failed, o.calls)
 		}
-		ok, base := n.calls-n.failed, o.calls-o.failed
-		if ok >= fewestCompared && base >= fewestCompared && n.mean() > slowRatio*o.mean() {
+		if n.slower(o) {
 			return fmt.Sprintf("%s: calls take %.0f ms, %.0f ms at other versions", named(route), float64(n.mean()), float64(o.mean()))
 		}
 	}
@@ -142,6 +144,14 @@
 	return out
 }
 
+// slower reports whether calls take notably longer than others.
+func (s *sum) slower(o *sum) bool {
+	if s.calls-s.failed < fewestCompared || o.calls-o.failed < fewestCompared {
+		return false
+	}
+	return s.mean() > slowRatio*o.mean() && s.mean() > o.mean()+slowMargin
+}
+
 func named(route string) string {
 	if route == "" {
 		return "all routes"
--- a/internal/moves/canary/subset_test.go
+++ b/internal/moves/canary/subset_test.go
@@ -95,3 +95,14 @@
 	g.Expect(m.Judge(ordered)).To(BeTrue())
 	g.Expect(m.Phase()).To(Equal(canary.RolledBack))
 }
+
+// Guards against a good version that is taken back for a route whose calls are
+// so short that their times are chance.
+func TestShortCalls(t *testing.T) {
+	g := NewWithT(t)
+	m := canary.New(order.Move{Version: "v2", Within: within, Seen: ordered})
+	m.Observe(ordered, "old", 1, "v1", []call.Tally{{Route: "r", Calls: 20, Spent: 40}})
+	m.Observe(ordered, "new", 1, "v2", []call.Tally{{Route: "r", Calls: 10, Spent: 80}})
+	g.Expect(m.Judge(ordered)).To(BeFalse())
+	g.Expect(m.Phase()).To(Equal(canary.Running))
+}
