--- a/internal/node/mesh/sinks.go
+++ b/internal/node/mesh/sinks.go
@@ -15,7 +15,7 @@
 	// ordersAge is how often, on average, one of all daemons reads the orders
 	// anew, though the store told of none: answers of the store may be lost to
 	// all of them, and the one that learns more tells its peers.
-	ordersAge = 500 * clock.Millisecond
+	ordersAge = clock.Second
 	// ordersSpread keeps daemons that started together from reading together.
 	ordersSpread = 0.5
 )
