canary: take a version back for slowness only if two upstreams are slow

Cause: read in the diff.

Also counts that begin anew with more calls but fewer failures no longer wrap around. TestOneBadUpstream 'slow' and TestUpstreamBeganAnew failed first.

--- a/internal/moves/canary/canary_test.go
+++ b/internal/moves/canary/canary_test.go
@@ -215,3 +215,8 @@
 func tally(calls, failed uint64) []call.Tally {
 	return []call.Tally{{Route: "r", Calls: calls, Failed: failed, Spent: clock.Milli(calls-failed) * 300}}
 }
+
+// spent counts calls of one route that took a number of milliseconds each.
+func spent(calls uint64, each clock.Milli) []call.Tally {
+	return []call.Tally{{Route: "r", Calls: calls, Spent: clock.Milli(calls) * each}}
+}
--- a/internal/moves/canary/evidence.go
+++ b/internal/moves/canary/evidence.go
@@ -100,23 +100,26 @@
 	return out
 }
 
-// spread reports whether failures of the new version came from more than one
-// of its upstreams, or from the only one.
-func (c counts) spread(upstreams int) bool {
-	failed := make(map[string]bool)
+// spread reports whether calls of the new version that meet a condition came
+// from two of its upstreams, or from the only one. An empty route stands for
+// all.
+func (c counts) spread(upstreams int, route string, is func(*sum) bool) bool {
+	at := make(map[string]bool)
 	for k, s := range c {
-		if k.isNew && s.failed > 0 {
-			failed[k.target] = true
+		if k.isNew && (route == "" || k.route == route) && is(&s) {
+			at[k.target] = true
 		}
 	}
-	return len(failed) >= min(2, max(1, upstreams))
+	return len(at) >= min(2, max(1, upstreams))
 }
 
+func hasFailed(s *sum) bool { return s.failed > 0 }
+
 // bad returns what speaks against the new version with a number of upstreams,
 // compared with the old one's calls by route; it is empty for nothing. One
 // failing upstream is not the version's fault.
 func (c counts) bad(b bounds, upstreams int, old map[string]*sum) string {
-	spread := c.spread(upstreams)
+	spread := c.spread(upstreams, "", hasFailed)
 	for route, n := range c.version(true) {
 		o := old[route]
 		if o == nil {
@@ -125,7 +128,7 @@
 		if spread && b.failing(n, o) {
 			return fmt.Sprintf("%s: %d of %d calls failed, %d of %d at other versions", named(route), n.failed, n.calls, o.failed, o.calls)
 		}
-		if n.slower(o) {
+		if n.slower(o) && c.spread(upstreams, route, func(s *sum) bool { return s.takesLonger(o) }) {
 			return fmt.Sprintf("%s: calls take %.0f ms, %.0f ms at other versions", named(route), float64(n.mean()), float64(o.mean()))
 		}
 	}
@@ -149,11 +152,15 @@
 	return out
 }
 
-// slower reports whether calls take notably longer than others.
+// slower reports whether enough calls take notably longer than others.
 func (s *sum) slower(o *sum) bool {
 	if s.calls-s.failed < fewestCompared || o.calls-o.failed < fewestCompared {
 		return false
 	}
+	return s.takesLonger(o)
+}
+
+func (s *sum) takesLonger(o *sum) bool {
 	return s.mean() > slowRatio*o.mean() && s.mean() > o.mean()+slowMargin
 }
 
@@ -168,7 +175,7 @@
 // one, though perhaps not often enough to take it back.
 func (c counts) doubt(upstreams int, old map[string]*sum) bool {
 	n, o := c.version(true)[""], old[""]
-	return c.spread(upstreams) && n.share() > o.share()+lately.margin
+	return c.spread(upstreams, "", hasFailed) && n.share() > o.share()+lately.margin
 }
 
 // reached reports whether the new version really got its share of the calls.
--- a/internal/moves/canary/subset_test.go
+++ b/internal/moves/canary/subset_test.go
@@ -39,22 +39,35 @@
 }
 
 // Guards against a good version that is taken back as one of its upstreams is
-// broken.
-func TestOneBrokenUpstream(t *testing.T) {
-	g := NewWithT(t)
-	m := canary.New(order.Move{Version: "v2", Within: within, Seen: ordered})
-	now := ordered
-	for i := uint64(1); i < 60; i++ {
-		now += tick
-		m.Observe(now, "old", 1, "v1", tally(10*i, 0))
-		m.Observe(now, "broken", 1, "v2", tally(i, i/2))
-		m.Observe(now, "sound", 1, "v2", tally(i, 0))
-		m.Judge(now)
+// broken or slow.
+func TestOneBadUpstream(t *testing.T) {
+	tests := map[string]struct {
+		// bad is what an upstream counts after a number of calls.
+		bad func(calls uint64) []call.Tally
+	}{
+		"fails": {func(calls uint64) []call.Tally { return tally(calls, calls/2) }},
+		"slow":  {func(calls uint64) []call.Tally { return spent(calls, 3000) }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := canary.New(order.Move{Version: "v2", Within: within, Seen: ordered})
+			now := ordered
+			play := func(from, to uint64, second func(calls uint64) []call.Tally) {
+				for i := from; i < to; i++ {
+					now += tick
+					m.Observe(now, "old", 1, "v1", tally(10*i, 0))
+					m.Observe(now, "one", 1, "v2", tt.bad(i))
+					m.Observe(now, "two", 1, "v2", second(i))
+					m.Judge(now)
+				}
+			}
+			play(1, 40, func(calls uint64) []call.Tally { return tally(calls, 0) })
+			g.Expect(m.Phase()).To(Equal(canary.Running))
+			play(40, 70, tt.bad)
+			g.Expect(m.Phase()).To(Equal(canary.RolledBack))
+		})
 	}
-	g.Expect(m.Phase()).To(Equal(canary.Running))
-	m.Observe(now, "sound", 1, "v2", tally(62, 2))
-	m.Judge(now)
-	g.Expect(m.Phase()).To(Equal(canary.RolledBack))
 }
 
 // Guards against a good version that is taken back for a route on which the old
@@ -106,3 +119,14 @@
 	g.Expect(m.Judge(ordered)).To(BeFalse())
 	g.Expect(m.Phase()).To(Equal(canary.Running))
 }
+
+// Guards against counts that wrap around where an upstream began anew and has
+// more calls, but fewer failures, than before.
+func TestUpstreamBeganAnew(t *testing.T) {
+	g := NewWithT(t)
+	m := canary.New(order.Move{Version: "v2", Within: within, Seen: ordered})
+	m.Observe(ordered, "old", 1, "v1", tally(100, 0))
+	m.Observe(ordered, "new", 1, "v2", tally(20, 1))
+	m.Observe(ordered, "new", 1, "v2", tally(21, 0))
+	g.Expect(m.Judge(ordered)).To(BeFalse())
+}
--- a/internal/moves/canary/window.go
+++ b/internal/moves/canary/window.go
@@ -58,7 +58,8 @@
 		total, old := sum{calls: t.Calls, failed: t.Failed, spent: t.Spent}, s.totals[t.Route]
 		s.totals[t.Route] = total
 		k := key{isNew, t.Route, target}
-		if total.calls < old.calls {
+		// The upstream began anew beside the same guard.
+		if total.calls < old.calls || total.failed < old.failed {
 			e.past.add(k, old)
 			old = sum{}
 		}
