canary: shorten the steps after a long trial

With fewer than 12 calls in half of the time the trial takes 0.65 of it, and four steps of 0.09 then end after the deadline, on any machine: 'good, few calls' of TestMoves fails in virtual time.

Now steps after such a trial are so short that the move ends by 0.95. Ruled out: load (it only made the calls fewer).

--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -27,8 +27,11 @@
 	// trialPart is the part of the time for a move during which the share stays
 	// at trialShare. Some versions turn bad only after seconds.
 	trialPart = 0.5
-	// stepPart is the part of the time for each later step.
-	stepPart = 0.09
+	// stepPart is the part of the time for each later step, shortStepPart the
+	// same after a long trial, so that the move ends by endPart.
+	stepPart      = 0.09
+	shortStepPart = 0.05
+	endPart       = 0.95
 	// proofCalls are needed at the new version before its share grows.
 	proofCalls = 12
 	// latestPart is when the share grows even with fewer calls.
@@ -121,7 +124,7 @@
 	if m.step == 0 {
 		return m.tried(now)
 	}
-	age, long := now-m.stepped, m.order.Within*stepPart
+	age, long := now-m.stepped, m.stepTime()
 	if age < long {
 		return false
 	}
@@ -131,6 +134,13 @@
 	return m.step < len(steps) && age >= 2*long
 }
 
+// stepTime is how long the present share is tried.
+func (m *Move) stepTime() clock.Milli {
+	left := m.order.Seen + m.order.Within*endPart - m.stepped
+	steps := clock.Milli(len(steps) - m.step + 1)
+	return min(m.order.Within*stepPart, max(m.order.Within*shortStepPart, left/steps))
+}
+
 // tried reports whether the trial is over.
 func (m *Move) tried(now clock.Milli) bool {
 	calls := m.evidence.since().version(true)[""].calls
--- a/internal/moves/canary/canary_test.go
+++ b/internal/moves/canary/canary_test.go
@@ -153,6 +153,7 @@
 		version version
 		want    canary.Phase
 	}{
+		"good, few calls":     {version{fails: never, slow: 1, perSecond: 15}, canary.Succeeded},
 		"good, soon":          {version{fails: never, slow: 1, within: 3 * clock.Second, perSecond: 200}, canary.Succeeded},
 		"good":                {version{fails: never, slow: 1}, canary.Succeeded},
 		"a bit slow":          {version{fails: never, slow: 1.7}, canary.Succeeded},
