--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -119,7 +119,9 @@
 	return true
 }
 
-// due reports whether the present share has been tried enough.
+// due reports whether the present share has been tried enough. The last share
+// is tried until the version gets it and raises no doubt, others twice their
+// time at most.
 func (m *Move) due(now clock.Milli) bool {
 	if m.step == 0 {
 		return m.tried(now)
@@ -137,8 +139,8 @@
 // stepTime is how long the present share is tried.
 func (m *Move) stepTime() clock.Milli {
 	left := m.order.Seen + m.order.Within*endPart - m.stepped
-	steps := clock.Milli(len(steps) - m.step + 1)
-	return min(m.order.Within*stepPart, max(m.order.Within*shortStepPart, left/steps))
+	toGo := clock.Milli(len(steps) - m.step + 1)
+	return min(m.order.Within*stepPart, max(m.order.Within*shortStepPart, left/toGo))
 }
 
 // tried reports whether the trial is over.
--- a/internal/moves/canary/canary_test.go
+++ b/internal/moves/canary/canary_test.go
@@ -211,13 +211,3 @@
 	g.Expect(m.Phase()).To(Equal(canary.RolledBack))
 	g.Expect(m.Share()).To(BeZero())
 }
-
-// tally counts the calls of one route.
-func tally(calls, failed uint64) []call.Tally {
-	return []call.Tally{{Route: "r", Calls: calls, Failed: failed, Spent: clock.Milli(calls-failed) * 300}}
-}
-
-// spent counts calls of one route that took a number of milliseconds each.
-func spent(calls uint64, each clock.Milli) []call.Tally {
-	return []call.Tally{{Route: "r", Calls: calls, Spent: clock.Milli(calls) * each}}
-}
--- a/internal/moves/canary/evidence.go
+++ b/internal/moves/canary/evidence.go
@@ -117,7 +117,7 @@
 
 // bad returns what speaks against the new version with a number of upstreams,
 // compared with the old one's calls by route; it is empty for nothing. One
-// failing upstream is not the version's fault.
+// bad upstream is not the version's fault.
 func (c counts) bad(b bounds, upstreams int, old map[string]*sum) string {
 	spread := c.spread(upstreams, "", hasFailed)
 	for route, n := range c.version(true) {
