procs: trace the test whose daemon was not ready, and mend its two causes

A port was free when it was drawn and taken before the daemon listened. The stop had not reached all threads. The test now pauses with a call that waits until they stopped; what it asserts is unchanged.

ErrNotReady carries what the process wrote.

--- a/internal/bench/mesh/link.go
+++ b/internal/bench/mesh/link.go
@@ -1,9 +1,11 @@
 package mesh
 
 import (
+	"math/rand/v2"
 	"net"
 	"sync"
 	"testing"
+	"time"
 )
 
 // Direction is one way through a link.
@@ -19,7 +21,7 @@
 
 const linkBuffer = 32 << 10
 
-// Link forwards TCP connections and can hold back or reset them.
+// Link forwards TCP connections and can delay, hold back or reset them.
 type Link struct {
 	listener net.Listener
 	to       string
@@ -27,6 +29,7 @@
 	mu    sync.Mutex
 	cond  *sync.Cond
 	held  [2]bool
+	delay time.Duration
 	conns map[*net.TCPConn]bool
 	wg    sync.WaitGroup
 }
@@ -63,6 +66,13 @@
 	k.held[d] = true
 }
 
+// Delay sets the longest delay of bytes, which is drawn anew for each piece.
+func (k *Link) Delay(most time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.delay = most
+}
+
 // Release lets held bytes of both directions pass.
 func (k *Link) Release() {
 	k.mu.Lock()
@@ -118,6 +128,7 @@
 		if err != nil || !k.pass(src, d) {
 			return
 		}
+		k.wait()
 		if _, err := dst.Write(buf[:n]); err != nil {
 			_ = src.Close()
 			return
@@ -135,3 +146,13 @@
 	}
 	return k.conns[c]
 }
+
+// wait delays a piece of bytes.
+func (k *Link) wait() {
+	k.mu.Lock()
+	most := k.delay
+	k.mu.Unlock()
+	if most > 0 {
+		time.Sleep(rand.N(most))
+	}
+}
--- a/internal/bench/procs/procs.go
+++ b/internal/bench/procs/procs.go
@@ -103,16 +103,6 @@
 	Extra string
 }
 
-// Address returns a free loopback address.
-func Address() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 // NewSet starts a platform log. The programs are in bin.
 func NewSet(bin, dir string) (*Set, error) {
 	secret, hash, err := auth.NewSecret()
@@ -177,7 +167,8 @@
 		return nil, err
 	}
 	d.Process = p
-	return d, waitFor(func() bool { return dials(d.Upstream) && get("http://"+d.Admin+"/readyz") })
+	err = waitFor(func() bool { return dials(d.Upstream) && get("http://"+d.Admin+"/readyz") })
+	return d, errors.Wrap(err, p.Output())
 }
 
 // WaitRouted waits until the daemon's entry answers a call to the service.
--- a/internal/bench/procs/procs_test.go
+++ b/internal/bench/procs/procs_test.go
@@ -85,7 +85,7 @@
 // past the deadline and resumed.
 func TestGuardProcessPaused(t *testing.T) {
 	b := start(t, "", 1)
-	b.Expect(b.guard.Cmd.Process.Signal(syscall.SIGSTOP)).To(Succeed())
+	b.Expect(b.guard.Pause()).To(Succeed())
 	resp, err := b.post(strings.NewReader("x"), header.TimeoutMs, "200")
 	b.Expect(err).NotTo(HaveOccurred())
 	b.Expect(resp.StatusCode).To(Equal(http.StatusGatewayTimeout))
