mesh, canary: compute once what a judge and a request need

A judge copied the calls since the order twice, and added up the last ones three times, each 100 ms. The few upstreams of the new version's share were ranked for each request, also at the guard, in the fallback, and for requests of the old version, which never look at them. No change of behaviour.

--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -104,11 +104,12 @@
 	if m.phase != Running {
 		return false
 	}
-	if why := m.evidence.bad(now); why != "" {
+	f := m.evidence.figures(now)
+	if why := f.bad(); why != "" {
 		m.phase, m.why = RolledBack, why
 		return true
 	}
-	if !m.due(now) {
+	if !m.due(now, &f) {
 		return false
 	}
 	if m.step == len(steps) {
@@ -122,15 +123,15 @@
 // due reports whether the present share has been tried enough. The last share
 // is tried until the version gets it and raises no doubt, others twice their
 // time at most.
-func (m *Move) due(now clock.Milli) bool {
+func (m *Move) due(now clock.Milli, f *figures) bool {
 	if m.step == 0 {
-		return m.tried(now)
+		return m.tried(now, f)
 	}
 	age, long := now-m.stepped, m.stepTime()
 	if age < long {
 		return false
 	}
-	if m.evidence.after(m.stepped).reached(m.Share()) && !m.evidence.doubt(now) {
+	if m.evidence.after(m.stepped).reached(m.Share()) && !f.doubt() {
 		return true
 	}
 	return m.step < len(steps) && age >= 2*long
@@ -144,8 +145,8 @@
 }
 
 // tried reports whether the trial is over.
-func (m *Move) tried(now clock.Milli) bool {
-	calls := m.evidence.since().version(true)[""].calls
+func (m *Move) tried(now clock.Milli, f *figures) bool {
+	calls := f.since.version(true)[""].calls
 	part := trialPart
 	if calls < proofCalls {
 		part = latestPart
--- a/internal/moves/canary/window.go
+++ b/internal/moves/canary/window.go
@@ -99,11 +99,6 @@
 	return out
 }
 
-// recent returns the last calls.
-func (e *evidence) recent(now clock.Milli) counts {
-	return e.after(now - recentTime)
-}
-
 // after returns the calls from an instant on, as far as they are kept.
 func (e *evidence) after(from clock.Milli) counts {
 	out := make(counts)
@@ -118,25 +113,37 @@
 	return out
 }
 
+// figures is what a judge looks at.
+type figures struct {
+	// since has the calls since the order, recent the last ones.
+	since, recent counts
+	// oldSince and oldRecent are the old version's calls to compare them with.
+	oldSince, oldRecent map[string]*sum
+	// upstreams is the number of the new version's upstreams.
+	upstreams int
+}
+
+func (e *evidence) figures(now clock.Milli) figures {
+	f := figures{since: e.since(), recent: e.after(now - recentTime), upstreams: e.upstreams()}
+	f.oldSince = f.since.version(false)
+	f.oldRecent = baseline(f.oldSince, f.recent.version(false))
+	return f
+}
+
 // bad returns what speaks against the new version, empty for nothing.
-func (e *evidence) bad(now clock.Milli) string {
-	since, upstreams := e.since(), e.upstreams()
-	if why := since.bad(sinceOrder, upstreams, since.version(false)); why != "" {
+func (f *figures) bad() string {
+	if why := f.since.bad(sinceOrder, f.upstreams, f.oldSince); why != "" {
 		return why
 	}
-	if why := e.recent(now).bad(lately, upstreams, e.baseline(now)); why != "" {
+	if why := f.recent.bad(lately, f.upstreams, f.oldRecent); why != "" {
 		return "lately, " + why
 	}
 	return ""
 }
 
 // doubt reports whether the last calls raise doubt about the new version.
-func (e *evidence) doubt(now clock.Milli) bool {
-	return e.recent(now).doubt(e.upstreams(), e.baseline(now))
-}
-
-func (e *evidence) baseline(now clock.Milli) map[string]*sum {
-	return baseline(e.since().version(false), e.recent(now).version(false))
+func (f *figures) doubt() bool {
+	return f.recent.doubt(f.upstreams, f.oldRecent)
 }
 
 // upstreams is the number of the new version's upstreams.
--- a/internal/node/mesh/gate.go
+++ b/internal/node/mesh/gate.go
@@ -8,20 +8,14 @@
 // gate refuses calls at the guard, whatever the entry believed: to an upstream
 // that may not get calls, in a data centre that is out, or of a version that
 // was taken back.
-func (n *Node) gate(now clock.Milli, r *call.Request) call.Reason {
+func (n *Node) gate(_ clock.Milli, r *call.Request) call.Reason {
 	if reason := n.upstream.usable(); reason != call.ReasonNone {
 		return reason
 	}
 	if n.book.Orders().Out[n.settings.Centre] {
 		return call.ReasonCentreOut
 	}
-	v := n.moves.versions(now, r.Service)
-	if v == nil || !v.final {
-		return call.ReasonNone
-	}
-	own := n.self
-	own.Version = n.upstream.state().Version
-	if !v.allow(&own, v.share > 0) {
+	if v := n.moves.versions(r.Service); v != nil && v.ended(n.upstream.state().Version) {
 		return call.ReasonVersionBraked
 	}
 	return call.ReasonNone
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -10,6 +10,7 @@
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/canary"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/shift"
@@ -73,20 +74,36 @@
 
 // versions returns how the requests of a service are spread, nil if all
 // upstreams may serve them.
-func (m *moves) versions(now clock.Milli, service string) *versions {
+func (m *moves) versions(service string) *versions {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := m.services[service]
-	if s == nil {
+	return m.spread(service)
+}
+
+// versionsFor returns the same with the part that one request belongs to.
+func (m *moves) versionsFor(now clock.Milli, req *call.Request) *versions {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v := m.spread(req.Service)
+	if v == nil {
 		return nil
 	}
-	v := &versions{to: s.move.Order().Version, share: s.move.Share(), final: s.move.Phase() != canary.Running}
-	if !v.final {
-		v.chosen = s.move.Subset(now, m.upstreams(service, v.to))
+	v.moved = draw(req.ID) < uint64(v.share*draws)
+	if v.moved && !v.final {
+		v.chosen = m.services[req.Service].move.Subset(now, m.upstreams(req.Service, v.to))
 	}
 	return v
 }
 
+// spread implements versions. The caller holds the lock.
+func (m *moves) spread(service string) *versions {
+	s := m.services[service]
+	if s == nil {
+		return nil
+	}
+	return &versions{to: s.move.Order().Version, share: s.move.Share(), final: s.move.Phase() != canary.Running}
+}
+
 // upstreams returns the daemons beside the upstreams of a version.
 func (m *moves) upstreams(service, version string) []string {
 	var out []string
--- a/internal/node/mesh/moves_test.go
+++ b/internal/node/mesh/moves_test.go
@@ -100,11 +100,11 @@
 	ids := []string{"a", "b"}
 	from, to := newTestTallier(net, "a", ids), newTestTallier(net, "b", ids)
 	now := from.moves.clock.Now()
-	before := to.moves.versions(now, moveService).share
+	before := to.moves.versions(moveService).share
 	from.moves.services[moveService].move.Grown(2, now)
 	to.moves.merge(now, from.moves.encode(now))
-	g.Expect(to.moves.versions(now, moveService).share).To(BeNumerically(">", before))
-	g.Expect(to.moves.versions(now, moveService).share).To(Equal(from.moves.versions(now, moveService).share))
+	g.Expect(to.moves.versions(moveService).share).To(BeNumerically(">", before))
+	g.Expect(to.moves.versions(moveService).share).To(Equal(from.moves.versions(moveService).share))
 }
 
 // deafStore never answers.
@@ -134,7 +134,7 @@
 		d.fail(byte(i))
 	}
 	d.report(ctx)
-	share := func() float64 { return d.moves.versions(d.moves.clock.Now(), moveService).share }
+	share := func() float64 { return d.moves.versions(moveService).share }
 	g.Eventually(share, 4*stepInterval.Duration()).Should(BeZero())
 	cancel()
 	for range cap(ended) {
--- a/internal/node/mesh/rules.go
+++ b/internal/node/mesh/rules.go
@@ -27,24 +27,23 @@
 // Allow implements entry.Rules.
 func (r *rules) Allow(now clock.Milli, req *call.Request) (func(*call.Target) bool, call.Reason) {
 	out := r.book.Orders().Out
-	versions := r.moves.versions(now, req.Service)
+	versions := r.moves.versionsFor(now, req)
 	if len(out) == 0 && versions == nil {
 		return nil, call.ReasonNone
 	}
-	moved := versions != nil && draw(req.ID) < uint64(versions.share*draws)
 	reason := call.ReasonVersionShare
 	if len(out) > 0 {
 		reason = call.ReasonCentreOut
 	}
 	return func(t *call.Target) bool {
-		return !out[t.Centre] && (versions == nil || versions.allow(t, moved))
+		return !out[t.Centre] && (versions == nil || versions.allow(t))
 	}, reason
 }
 
 // Fallback implements entry.Rules. A request of the new version's share that
 // finds no such upstream goes to the others.
-func (r *rules) Fallback(now clock.Milli, req *call.Request) func(*call.Target) bool {
-	versions := r.moves.versions(now, req.Service)
+func (r *rules) Fallback(_ clock.Milli, req *call.Request) func(*call.Target) bool {
+	versions := r.moves.versions(req.Service)
 	if versions == nil || versions.final {
 		return nil
 	}
@@ -58,17 +57,23 @@
 type versions struct {
 	to    string
 	share float64
-	// chosen are the daemons whose upstreams get the new version's requests.
-	chosen []string
 	// final is set once the move has ended.
 	final bool
+	// moved says that a request belongs to the new version's share, chosen are
+	// the daemons whose upstreams then get it.
+	moved  bool
+	chosen []string
 }
 
-// allow reports whether a target may get a request of the new version's share,
-// or one of the others.
-func (v *versions) allow(t *call.Target, moved bool) bool {
-	if (t.Version == v.to) != moved {
+// allow reports whether a target may get the request.
+func (v *versions) allow(t *call.Target) bool {
+	if (t.Version == v.to) != v.moved {
 		return false
 	}
-	return v.final || !moved || slices.Contains(v.chosen, t.ID)
+	return v.final || !v.moved || slices.Contains(v.chosen, t.ID)
+}
+
+// ended reports whether a version gets no calls any more.
+func (v *versions) ended(version string) bool {
+	return v.final && (version == v.to) != (v.share > 0)
 }
