clock: one wait and one periodic loop for all

Four copies of a wait that ends with its context stood in feed, gossip, entry and the stand-in upstream, a fifth in the comparison of peers; five copies of the loop around a ticker in mesh and daemon. conf/follow keeps its own, which can be woken. No change of behaviour.

--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
@@ -126,7 +125,7 @@
 		default:
 			f.unsure = true
 			f.mark(false, err)
-			pause(ctx, retry.NextBackOff())
+			clock.Sleep(ctx, clock.Of(retry.NextBackOff()))
 		}
 	}
 	return ctx.Err()
@@ -153,7 +152,7 @@
 	f.sink.Apply(b.Items, b.End)
 	f.unsure = len(b.Items) > 0
 	if f.unsure {
-		pause(ctx, f.batchPause.Duration())
+		clock.Sleep(ctx, f.batchPause)
 	}
 	return b.End, nil
 }
@@ -195,12 +194,3 @@
 	case <-w.done:
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fleet/gossip/life.go
+++ b/internal/fleet/gossip/life.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
 
 	"github.com/looplab/fsm"
 	"github.com/rs/zerolog"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/budget"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/member"
 )
@@ -60,7 +60,7 @@
 		return
 	}
 	s.handle(member.Gone{}, budget.Update)
-	if err := pause(ctx, time.Second+time.Duration(rand.Float64()*float64(leaveSpread))); err != nil {
+	if !clock.Sleep(ctx, clock.Second+clock.Of(leaveSpread)*clock.Milli(rand.Float64())) {
 		return
 	}
 	if err := s.s.Seeds.Leave(ctx, s.Self()); err != nil {
--- a/internal/fleet/gossip/seeds.go
+++ b/internal/fleet/gossip/seeds.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/budget"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/member"
 )
@@ -39,8 +40,8 @@
 		return err
 	}
 	s.handle(member.Start{Seeds: peers}, budget.Sync)
-	if err := pause(ctx, time.Duration(rand.Float64()*float64(announceSpread))); err != nil {
-		return err
+	if !clock.Sleep(ctx, clock.Of(announceSpread)*clock.Milli(rand.Float64())) {
+		return ctx.Err()
 	}
 	if err := s.retry(ctx, func() error { return s.s.Seeds.Announce(ctx, s.Self()) }); err != nil {
 		return err
@@ -56,19 +57,8 @@
 			return nil
 		}
 		s.s.Log.Warn().Err(err).Msg("seeds_unavailable")
-		if err := pause(ctx, time.Duration((0.5+rand.Float64())*float64(wait))); err != nil {
-			return err
+		if !clock.Sleep(ctx, clock.Of(wait)*clock.Milli(0.5+rand.Float64())) {
+			return ctx.Err()
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/internal/node/daemon/mover.go
+++ b/internal/node/daemon/mover.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -70,15 +69,8 @@
 }
 
 func (m *mover) run(ctx context.Context) error {
-	t := time.NewTicker(stepInterval.Duration())
-	defer t.Stop()
 	var surveyed, sampled clock.Milli
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-		}
+	return clock.Every(ctx, stepInterval, func() {
 		now := m.clock.Now()
 		actions := m.step(now)
 		m.act(ctx, actions)
@@ -90,7 +82,7 @@
 			surveyed = now
 			m.survey(ctx, now)
 		}
-	}
+	})
 }
 
 // configure takes in a new configuration. The rules follow at once.
--- a/internal/node/daemon/seeds.go
+++ b/internal/node/daemon/seeds.go
@@ -80,18 +80,11 @@
 
 // run joins announced daemons that the membership does not know.
 func (s *seeds) run(ctx context.Context) error {
-	t := time.NewTicker(meetInterval.Duration())
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-		}
+	return clock.Every(ctx, meetInterval, func() {
 		if peers := s.unknown(s.clock.Now()); len(peers) > 0 {
 			s.fleet.shell.Meet(peers)
 		}
-	}
+	})
 }
 
 // unknown returns announced daemons that this one should contact: all if it
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -136,18 +135,11 @@
 }
 
 func (m *moves) run(ctx context.Context) error {
-	t := time.NewTicker(stepInterval.Duration())
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-		}
+	return clock.Every(ctx, stepInterval, func() {
 		if m.step(m.clock.Now()) {
 			m.push()
 		}
-	}
+	})
 }
 
 // step lets the moves that this daemon judges go on. It reports whether the
--- a/internal/node/mesh/share.go
+++ b/internal/node/mesh/share.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
 
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
@@ -44,22 +43,20 @@
 }
 
 func (s *sharer) run(ctx context.Context) error {
-	for {
-		wait := shareInterval
-		if !s.orders.Online() {
-			wait = shareHungry
-		}
-		t := time.NewTimer(wait.Duration())
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return ctx.Err()
-		case <-t.C:
-		}
+	for clock.Sleep(ctx, s.interval()) {
 		if id, ok := s.random(); ok {
 			s.compare(ctx, id)
 		}
 	}
+	return ctx.Err()
+}
+
+// interval is the time until the next comparison.
+func (s *sharer) interval() clock.Milli {
+	if s.orders.Online() {
+		return shareInterval
+	}
+	return shareHungry
 }
 
 // random draws a peer with an open link.
--- a/internal/node/mesh/status.go
+++ b/internal/node/mesh/status.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -42,20 +41,13 @@
 }
 
 func (w *statuses) run(ctx context.Context) error {
-	t := time.NewTicker(statusInterval.Duration())
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-		}
+	return clock.Every(ctx, statusInterval, func() {
 		now := w.moves.clock.Now()
 		w.recall(ctx, now)
 		for _, s := range w.moves.unwritten(now) {
 			w.write(ctx, s)
 		}
-	}
+	})
 }
 
 // recall reads once how moves ended that are older than this daemon.
--- a/internal/node/mesh/tallies.go
+++ b/internal/node/mesh/tallies.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
@@ -54,18 +53,11 @@
 }
 
 func (t *tallier) run(ctx context.Context) error {
-	tick := time.NewTicker(tallyInterval.Duration())
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
+	return clock.Every(ctx, tallyInterval, func() {
 		if t.moves.active(t.service) {
 			t.report(ctx)
 		}
-	}
+	})
 }
 
 // report sends the counts to each judge that has answered the last report.
--- a/internal/path/entry/tries.go
+++ b/internal/path/entry/tries.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"slices"
-	"time"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
@@ -189,17 +188,7 @@
 	if t.in.Context().Err() != nil || t.entry.clock.Now()+d >= t.request.Deadline {
 		return false
 	}
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return d <= 0 || clock.Sleep(ctx, d)
 }
 
 // end answers the caller after the last attempt.
--- a/internal/stand/server/server.go
+++ b/internal/stand/server/server.go
@@ -183,14 +183,7 @@
 	if age := clock.Of(time.Since(epoch)); age < s.warmup {
 		d *= 1 + 4*float64((s.warmup-age)/s.warmup)
 	}
-	t := time.NewTimer(clock.Milli(d).Duration())
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, clock.Milli(d))
 }
 
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, f Faults, run *Run, sum string) {
