mesh, guard: simplify three pieces that said a thing twice

The announcer unlocked in three branches, two paths of a useless response were the same lines, and the table of peers kept an address it never read. No change of behaviour.

--- a/internal/fleet/peers/table.go
+++ b/internal/fleet/peers/table.go
@@ -19,7 +19,6 @@
 
 // Table holds the newest record of each daemon. It is safe for concurrent use.
 type Table struct {
-	self    string
 	version atomic.Uint64
 	now     atomic.Pointer[snapshot]
 
@@ -31,7 +30,7 @@
 
 // New returns a table of the daemon with an address.
 func New(self string) *Table {
-	t := &Table{self: self, records: make(map[string]Record), linked: map[string]bool{self: true}}
+	t := &Table{records: make(map[string]Record), linked: map[string]bool{self: true}}
 	t.now.Store(&snapshot{})
 	return t
 }
--- a/internal/node/mesh/announce.go
+++ b/internal/node/mesh/announce.go
@@ -61,23 +61,19 @@
 func (a *announcer) change(f func(*peers.Record)) <-chan struct{} {
 	done := make(chan struct{})
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	old := a.self
 	f(&a.self)
-	if a.self == old && a.written == old.Seq {
-		a.mu.Unlock()
+	changed := a.self != old
+	if !changed && a.written == old.Seq {
 		close(done)
 		return done
 	}
-	a.waiters = append(a.waiters, done)
-	if a.self == old {
-		a.mu.Unlock()
-		a.signal()
-		return done
+	if changed {
+		a.self.Seq++
+		a.table.Merge(a.self)
 	}
-	a.self.Seq++
-	self := a.self
-	a.mu.Unlock()
-	a.table.Merge(self)
+	a.waiters = append(a.waiters, done)
 	a.signal()
 	return done
 }
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -94,9 +94,14 @@
 		x.result.NotRun, x.result.Failed = true, false
 		return x.stream.refuse(x.start, call.NotRun, call.ReasonShed, "") && x.bodyDone()
 	}
+	return x.useless(call.ReasonInvalidAnswer, head.Invalid)
+}
+
+// useless reports a response that can't be passed on.
+func (x *exchange) useless(reason call.Reason, detail string) bool {
 	x.result.Failed = true
 	x.stream.guard.sample(Sample{Request: x.request, Failed: true, Latency: x.result.Latency})
-	return x.stream.refuse(x.start, call.Unknown, call.ReasonInvalidAnswer, head.Invalid) && x.bodyDone()
+	return x.stream.refuse(x.start, call.Unknown, reason, detail) && x.bodyDone()
 }
 
 // fail reports a request without a response.
@@ -110,13 +115,11 @@
 		out, reason = call.NotRun, call.ReasonDialFailed
 		x.result.NotRun = true
 	}
-	if x.result.Failed {
-		g.failed(err)
-	}
 	if ctx.Err() != nil {
 		reason = endReason(ctx)
 	}
 	if x.result.Failed {
+		g.failed(err)
 		g.sample(Sample{Request: x.request, Failed: true, Latency: x.result.Latency})
 	}
 	return x.stream.refuse(x.start, out, reason, err.Error()) && x.bodyDone()
@@ -141,7 +144,7 @@
 	if g.protocol.Whole() {
 		body, err := readWhole(resp)
 		if err != nil {
-			return x.cut(err)
+			return x.useless(call.ReasonUpstreamFailed, err.Error())
 		}
 		resp.Body = io.NopCloser(body)
 	}
--- a/internal/path/guard/whole.go
+++ b/internal/path/guard/whole.go
@@ -6,8 +6,6 @@
 	"net/http"
 
 	"github.com/pkg/errors"
-
-	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 )
 
 // maxWhole bounds the part of a response that is held back until its end.
@@ -29,10 +27,3 @@
 	}
 	return io.MultiReader(&buf, resp.Body), nil
 }
-
-// cut reports a response that broke off before any of it was passed on.
-func (x *exchange) cut(err error) bool {
-	x.result.Failed = true
-	x.stream.guard.sample(Sample{Request: x.request, Failed: true, Latency: x.result.Latency})
-	return x.stream.refuse(x.start, call.Unknown, call.ReasonUpstreamFailed, err.Error()) && x.bodyDone()
-}
