bench: set the faults of the fake services and report refused ones

SetFaults posted to the fake log, which serves only PUT, and ignored the status, so the soak ran without log_down, log_slow and log_lost_acks. The fake upstream closed the connection without flushing the half of a cut response. Both now serve PUT, a status other than 200 is an error, and the soak counts that as a problem.

A response whose length is known and fits one chunk is now forwarded when complete, and a truncated one ends as 502 with the outcome unknown.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -63,20 +63,32 @@
 
 func (s *soak) upstreamFault(f upstream.Faults) func(context.Context, *deploy.Node, time.Duration) {
 	return func(ctx context.Context, n *deploy.Node, duration time.Duration) {
-		_ = deploy.SetFaults(ctx, n.UpstreamAddr, f)
+		s.setFaults(ctx, n.UpstreamAddr, f)
 		time.Sleep(duration)
-		_ = deploy.SetFaults(ctx, n.UpstreamAddr, upstream.Faults{})
+		s.setFaults(ctx, n.UpstreamAddr, upstream.Faults{})
 	}
 }
 
 func (s *soak) logFault(f logsrv.Faults) func(context.Context, *deploy.Node, time.Duration) {
 	return func(ctx context.Context, _ *deploy.Node, duration time.Duration) {
-		_ = deploy.SetFaults(ctx, s.deployment.LogAddr, f)
+		s.setFaults(ctx, s.deployment.LogAddr, f)
 		time.Sleep(duration)
-		_ = deploy.SetFaults(ctx, s.deployment.LogAddr, logsrv.Faults{})
+		s.setFaults(ctx, s.deployment.LogAddr, logsrv.Faults{})
 	}
 }
 
+// setFaults replaces the faults of the fake service at addr. A failure is a problem
+// of the run, because later checks would apply to a fault that is not in force.
+func (s *soak) setFaults(ctx context.Context, addr string, faults any) {
+	err := deploy.SetFaults(ctx, addr, faults)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faultErrors = append(s.faultErrors, err.Error())
+}
+
 func (s *soak) pauseDaemon(_ context.Context, n *deploy.Node, duration time.Duration) {
 	_ = n.DaemonCmd.Process.Signal(syscall.SIGSTOP)
 	time.Sleep(duration)
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -37,6 +37,7 @@
 	entryOutages []outage
 	faultCounts  map[string]int
 	daemonErrors []string
+	faultErrors  []string
 	wg           sync.WaitGroup
 }
 
@@ -127,9 +128,9 @@
 // clearFaults removes the faults of the log and the upstreams, and brings all
 // data centres back into service.
 func (s *soak) clearFaults(ctx context.Context) {
-	_ = deploy.SetFaults(ctx, s.deployment.LogAddr, logsrv.Faults{})
+	s.setFaults(ctx, s.deployment.LogAddr, logsrv.Faults{})
 	for _, n := range s.deployment.Nodes {
-		_ = deploy.SetFaults(ctx, n.UpstreamAddr, upstream.Faults{})
+		s.setFaults(ctx, n.UpstreamAddr, upstream.Faults{})
 	}
 	for _, c := range []string{"cluj", "brasov", "sibiu"} {
 		_, _ = s.deployment.RunCommand(ctx, s.deployment.Nodes[0], "move", "back", c, "--reason", "The soak run ends and all centres return.")
@@ -147,6 +148,7 @@
 	problems = append(problems, s.checkConnections(results)...)
 	problems = append(problems, s.checkRecovery(results)...)
 	problems = append(problems, s.daemonErrors...)
+	problems = append(problems, s.faultErrors...)
 	problems = append(problems, s.deployment.StopDaemons()...)
 	problems = append(problems, s.deployment.Violations()...)
 	counts := make(map[string]int)
--- a/internal/bench/deploy/check.go
+++ b/internal/bench/deploy/check.go
@@ -52,14 +52,14 @@
 	return json.NewDecoder(resp.Body).Decode(v)
 }
 
-// SetFaults sends faults as JSON to addr with POST /faults. It ignores the status
-// of the response.
+// SetFaults replaces the faults of the fake service at addr. A status other than
+// 200 is an error, because the fault is then not in force.
 func SetFaults(ctx context.Context, addr string, faults any) error {
 	b, err := json.Marshal(faults)
 	if err != nil {
 		return errors.Wrap(err, "encode faults")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/faults", bytes.NewReader(b))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+addr+"/faults", bytes.NewReader(b))
 	if err != nil {
 		return err
 	}
@@ -67,7 +67,11 @@
 	if err != nil {
 		return err
 	}
-	return resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("set faults of %s: status %d", addr, resp.StatusCode)
+	}
+	return nil
 }
 
 // CheckRuns compares the responses that callers received with the requests that
--- a/internal/fakes/server/server.go
+++ b/internal/fakes/server/server.go
@@ -18,7 +18,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 )
 
-// Faults is the body of POST /faults. The zero value is a healthy upstream.
+// Faults is the body of PUT /faults. The zero value is a healthy upstream.
 type Faults struct {
 	// SlowFactor multiplies the service time; 0 means 1.
 	SlowFactor float64 `json:"slow_factor"`
@@ -92,7 +92,7 @@
 // every other path as a request to the upstream.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /faults", s.handlePostFaults)
+	mux.HandleFunc("PUT /faults", s.handlePutFaults)
 	mux.HandleFunc("GET /runs", s.handleRuns)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/", s.handleCall)
@@ -120,7 +120,7 @@
 	return out
 }
 
-func (s *Server) handlePostFaults(w http.ResponseWriter, r *http.Request) {
+func (s *Server) handlePutFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -207,6 +207,8 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
 	if rand.Float64() < f.CutRate {
 		_, _ = w.Write(out[:len(out)/2])
+		// Without a flush, the buffered half is discarded with the connection.
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(out)
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -149,7 +149,7 @@
 		ContentLength: resp.ContentLength,
 	}
 	end := &wire.ReplyEnd{Id: x.callStart.GetId()}
-	if g.protocol.BufferResponses() {
+	if g.protocol.BufferResponses() || isShort(resp) {
 		body, err := bufferResponse(resp)
 		if err != nil {
 			return x.refuseUnusableResponse(call.ReasonUpstreamFailed, err.Error())
@@ -173,7 +173,7 @@
 	endFrame := &wire.Frame{Body: &wire.Frame_ReplyEnd{ReplyEnd: end}}
 	frames := make([]*wire.Frame, 0, 3)
 	frames = append(frames, headFrame)
-	if resp.ContentLength < 0 || resp.ContentLength > link.MaxChunkBytes {
+	if !isShort(resp) {
 		if err := x.stream.link.Send(headFrame); err != nil {
 			return err
 		}
@@ -208,10 +208,17 @@
 	end.View = link.EncodeUpstreamState(x.stream.guard.UpstreamState())
 }
 
-// readChunk reads the whole body if its length is known and at most MaxChunkBytes,
-// otherwise the next available part of it.
+// isShort reports whether the length of a response is known and fits one chunk. Such
+// a response is forwarded only when it is complete, so a truncated one can still be
+// replaced by an error response.
+func isShort(resp *http.Response) bool {
+	return resp.ContentLength >= 0 && resp.ContentLength <= link.MaxChunkBytes
+}
+
+// readChunk reads the whole body if the response is short, otherwise the next
+// available part of it.
 func readChunk(resp *http.Response, buf []byte) (int, error) {
-	if resp.ContentLength < 0 || resp.ContentLength > link.MaxChunkBytes {
+	if !isShort(resp) {
 		return resp.Body.Read(buf)
 	}
 	n, err := io.ReadFull(resp.Body, buf[:resp.ContentLength])
