mesh: let a few daemons of each data centre follow the store for the others

Cause: every daemon followed both topics, so each record caused one read by every daemon.

Two watchers of each data centre, selected by a hash over the daemons with an open link, follow the store and notify the others, which get the records from them. There is no lease: the duty passes on when links go down, or when a watcher reports that it lost the store while others reach it. While no daemon reaches it, the duty stays, as each further watcher would only add failing calls. A daemon reads the records once after its own is stored, so that of two that start together the later one sees the earlier. Changes of its own record are sent to all linked daemons at once.

Ruled out: a lease in the store (expires while the store is away), gossip of the product (a cold start took 0.4 s a member).

--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -56,6 +56,14 @@
 	readImmediately bool
 	restart         chan struct{}
 	online          atomic.Bool
+	failing         atomic.Bool
+	// idle is set while the follower reads only when Poll is called.
+	idle   atomic.Bool
+	polled atomic.Bool
+	wake   chan struct{}
+	// offset is where the next read starts.
+	offset atomic.Int64
+	onRead func()
 }
 
 // Option configures a Follower in NewFollower.
@@ -80,6 +88,16 @@
 	return func(f *Follower) { f.readWait = wait }
 }
 
+// WithIdleStart makes the follower start idle.
+func WithIdleStart() Option {
+	return func(f *Follower) { f.idle.Store(true) }
+}
+
+// WithReadHook sets a function that is called after each successful read.
+func WithReadHook(onRead func()) Option {
+	return func(f *Follower) { f.onRead = onRead }
+}
+
 // OffsetNone as the start offset makes a follower begin with the newest item of
 // every key.
 const OffsetNone = -1
@@ -90,6 +108,7 @@
 	f := &Follower{
 		store: s, topic: topic, sink: sink, log: log, startOffset: OffsetNone, batchDelay: defaultBatchDelay,
 		readWait: func() clock.Milli { return maxReadWait }, restart: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), onRead: func() {},
 	}
 	for _, o := range opts {
 		o(f)
@@ -103,6 +122,11 @@
 	return f.online.Load()
 }
 
+// Failing reports whether the last call to the store failed.
+func (f *Follower) Failing() bool {
+	return f.failing.Load()
+}
+
 // Restart cancels a read in progress and repeats it shortly after. It is for use
 // when a peer has records that this follower has not received.
 func (f *Follower) Restart() {
@@ -112,6 +136,55 @@
 	}
 }
 
+// SetIdle makes the follower read only when Poll is called, or continuously. A read in
+// progress ends first.
+func (f *Follower) SetIdle(idle bool) {
+	if f.idle.Swap(idle) != idle && !idle {
+		f.wakeUp()
+	}
+}
+
+// Poll makes an idle follower read once. The read does not wait for records and is not
+// repeated if it fails.
+func (f *Follower) Poll() {
+	f.polled.Store(true)
+	f.wakeUp()
+}
+
+// Offset returns the offset of the next read.
+func (f *Follower) Offset() int64 {
+	return f.offset.Load()
+}
+
+func (f *Follower) wakeUp() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// awaitWork waits until the follower has to read.
+func (f *Follower) awaitWork(ctx context.Context) {
+	for f.idle.Load() && !f.polled.Load() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.wake:
+			// Restart calls from before the wake-up are out of date.
+			f.clearRestart()
+		}
+	}
+	// An idle follower must not hold a read that waits.
+	f.readImmediately = f.readImmediately || f.idle.Load()
+}
+
+func (f *Follower) clearRestart() {
+	select {
+	case <-f.restart:
+	default:
+	}
+}
+
 // Serve implements suture.Service. It returns when ctx is done.
 func (f *Follower) Serve(ctx context.Context) error {
 	return f.run(ctx)
@@ -122,7 +195,13 @@
 	retry.InitialInterval, retry.MaxInterval = minRetryDelay.Duration(), maxRetryDelay.Duration()
 	retry.RandomizationFactor = retryJitter
 	end := f.startOffset
-	for ctx.Err() == nil {
+	for {
+		f.offset.Store(end)
+		f.awaitWork(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		f.polled.Store(false)
 		next, err := f.readOnce(ctx, end)
 		switch {
 		case err == nil:
@@ -139,7 +218,6 @@
 			clock.Sleep(ctx, clock.FromDuration(retry.NextBackOff()))
 		}
 	}
-	return ctx.Err()
 }
 
 // readOnce performs one read and passes its items to the sink. It returns the
@@ -151,6 +229,7 @@
 			return from, err
 		}
 		f.sink.Replace(b.Items, b.NextOffset)
+		f.onRead()
 		return b.NextOffset, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -162,8 +241,9 @@
 		return from, err
 	}
 	f.sink.Apply(b.Items, b.NextOffset)
+	f.onRead()
 	f.readImmediately = len(b.Items) > 0
-	if f.readImmediately {
+	if f.readImmediately && !f.idle.Load() {
 		clock.Sleep(ctx, f.batchDelay)
 	}
 	return b.NextOffset, nil
@@ -182,6 +262,7 @@
 
 // setOnline records whether the store is reachable and logs a change.
 func (f *Follower) setOnline(online bool, err error) {
+	f.failing.Store(!online)
 	if f.online.Swap(online) == online {
 		return
 	}
--- a/internal/fleet/peers/table.go
+++ b/internal/fleet/peers/table.go
@@ -93,6 +93,20 @@
 	return slices.Sorted(maps.Keys(t.linked))
 }
 
+// Linked returns the records of the daemons with an open link that have not stopped, and
+// of this one.
+func (t *Table) Linked() []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Record, 0, len(t.linked))
+	for id := range t.linked {
+		if r, ok := t.records[id]; ok && !r.Stopped {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Hash returns a hash of the announcements in the table. Tables with the same
 // announcements have the same hash.
 func (t *Table) Hash() uint64 {
--- a/internal/node/mesh/announce.go
+++ b/internal/node/mesh/announce.go
@@ -34,6 +34,9 @@
 	topic string
 	table *peers.Table
 
+	// onChange is called after a change of the record. It must not block.
+	onChange func()
+
 	mu        sync.Mutex
 	self      peers.Record
 	storedSeq uint64
@@ -44,12 +47,19 @@
 func newAnnouncer(self peers.Record, clk clock.Clock, log zerolog.Logger, store feed.Store, topic string, table *peers.Table) *announcer {
 	a := &announcer{
 		clock: clk, log: log, store: store, topic: topic, table: table, self: self,
-		wake: make(chan struct{}, 1),
+		onChange: func() {}, wake: make(chan struct{}, 1),
 	}
 	table.Merge(self)
 	return a
 }
 
+// isStored reports whether the store has a record of this daemon.
+func (a *announcer) isStored() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.storedSeq > 0
+}
+
 func (a *announcer) ownRecord() peers.Record {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -73,6 +83,7 @@
 	if changed {
 		a.self.Seq++
 		a.table.Merge(a.self)
+		a.onChange()
 	}
 	a.waiters = append(a.waiters, done)
 	a.scheduleWrite()
--- a/internal/node/mesh/moves_test.go
+++ b/internal/node/mesh/moves_test.go
@@ -124,7 +124,7 @@
 func TestJudgeWithoutStore(t *testing.T) {
 	g := NewWithT(t)
 	d := newTestReporter(loopbackNet{}, "a", []string{"a"})
-	writer := &statusWriter{moves: d.moves, platform: statusTopicPlatform{}, store: hangingStore{}}
+	writer := &statusWriter{moves: d.moves, platform: statusTopicPlatform{}, store: hangingStore{}, mayRestore: func(clock.Milli) bool { return true }}
 	ctx, cancel := context.WithCancel(context.Background())
 	serveErrs := make(chan error, 2)
 	go func() { serveErrs <- d.moves.Serve(ctx) }()
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -50,6 +50,7 @@
 	announcer       *announcer
 	links           *links
 	sync            *stateSync
+	watch           *storeWatch
 	reporter        *statsReporter
 	statusWriter    *statusWriter
 	orderFollower   *feed.Follower
@@ -80,7 +81,8 @@
 	n.buildCallPath(previous)
 	n.table.Merge(records...)
 	n.peerFollower = feed.NewFollower(n.store, p.Topics().Peers, peerSink{table: n.table, log: log, onNew: n.logNewPeers}, log,
-		feed.WithStartOffset(offset), feed.WithBatchDelay(peerBatchDelay))
+		feed.WithStartOffset(offset), feed.WithBatchDelay(peerBatchDelay), feed.WithIdleStart(),
+		feed.WithReadHook(func() { n.watch.peersRead() }))
 	n.buildServices()
 	return n, n.listen()
 }
@@ -101,6 +103,9 @@
 // readStoredPeers reads the stored records of all daemons. It returns them and the offset
 // to follow the topic from.
 func (n *Node) readStoredPeers() (records storedRecords, offset int64) {
+	if n.settings.FirstStart {
+		return nil, feed.OffsetNone
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), restoreTimeout.Duration())
 	defer cancel()
 	b, err := n.store.Newest(ctx, n.platform.Topics().Peers)
@@ -164,14 +169,19 @@
 // buildServices creates the components that run in the background.
 func (n *Node) buildServices() {
 	p := n.platform
-	n.orderFollower = feed.NewFollower(n.store, p.Topics().Directives, n.registry, n.log, feed.WithReadWait(n.orderReadWait))
+	n.orderFollower = feed.NewFollower(n.store, p.Topics().Directives, n.registry, n.log, feed.WithIdleStart(),
+		feed.WithReadWait(func() clock.Milli { return n.watch.readWait() }), feed.WithReadHook(func() { n.watch.ordersRead() }))
+	n.watch = newStoreWatch(n)
 	n.sync = &stateSync{
 		clock: n.clock, log: n.log, pool: n.pool, table: n.table, registry: n.registry, moves: n.moves,
-		orderFollower: n.orderFollower, ownRecord: n.announcer.ownRecord,
+		watch: n.watch, ownRecord: n.announcer.ownRecord,
 	}
+	n.watch.notify = n.sync.syncWithEach
+	n.announcer.onChange = func() { go (&recordPush{sync: n.sync}).run() }
+	n.registry.Subscribe(func(*order.ActiveSet) { n.watch.ordersChanged() })
 	n.moves.notifyPeers = func() { n.sync.syncWithAll(context.Background()) }
 	n.reporter = newStatsReporter(n)
-	n.statusWriter = &statusWriter{moves: n.moves, platform: p, store: n.store}
+	n.statusWriter = &statusWriter{moves: n.moves, platform: p, store: n.store, mayRestore: n.watch.mayRestore}
 	n.links = newLinks(n.self.ID, n.clock, n.log, n.pool, n.table)
 	n.links.onConnect = n.sync.syncWith
 	n.peerServer = &link.SupervisedServer{Server: link.NewServer(n.identity(), n.clock,
@@ -214,7 +224,7 @@
 		Timeout:   time.Second,
 	})
 	for _, s := range []suture.Service{
-		n.peerServer, n.callerServer, n.controlServer, n.readinessServer, n.metricsServer, n.guard, n.orderFollower, n.peerFollower, n.links, n.sync, n.announcer, n.health, n.moves, n.reporter, n.statusWriter,
+		n.peerServer, n.callerServer, n.controlServer, n.readinessServer, n.metricsServer, n.guard, n.orderFollower, n.peerFollower, n.links, n.sync, n.watch, n.announcer, n.health, n.moves, n.reporter, n.statusWriter,
 	} {
 		sup.Add(s)
 	}
--- a/internal/node/mesh/peersink.go
+++ b/internal/node/mesh/peersink.go
@@ -1,26 +1,12 @@
 package mesh
 
 import (
-	"math/rand/v2"
-
 	"github.com/rs/zerolog"
 
-	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
 )
 
-const (
-	// orderReadInterval is the average time between reads of the orders, over all
-	// daemons, while the store reports no new ones. The answers to the pending reads
-	// of all daemons may be lost; the first daemon that reads again then gets the
-	// update and passes it on to its peers.
-	orderReadInterval = clock.Second
-	// orderReadJitter is the width of the range around 1 of a random factor on the
-	// wait, so that daemons that started together don't read together.
-	orderReadJitter = 0.5
-)
-
 // peerSink merges the daemon records of a topic into the table.
 type peerSink struct {
 	table *peers.Table
@@ -56,10 +42,3 @@
 	}
 	return out
 }
-
-// orderReadWait returns how long a read of the orders may wait for new ones. It grows
-// with the number of linked daemons, so that the rate over all daemons stays the same.
-func (n *Node) orderReadWait() clock.Milli {
-	jitter := 1 + orderReadJitter*(rand.Float64()-0.5)
-	return orderReadInterval * clock.Milli(float64(len(n.table.LinkedIDs()))*jitter)
-}
--- a/internal/node/mesh/platform.go
+++ b/internal/node/mesh/platform.go
@@ -32,6 +32,9 @@
 	// ColdOverage is the tolerated multiple of the stated call rate of a cold
 	// upstream; zero means that it is not configured.
 	ColdOverage float64
+	// FirstStart is set when the whole system starts for the first time, so that the
+	// store has no records of daemons.
+	FirstStart bool
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
 }
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
@@ -20,6 +21,11 @@
 	// offlineSyncInterval the same while the store does not respond.
 	syncInterval        = clock.Second
 	offlineSyncInterval = 300 * clock.Millisecond
+	// storeSilentAfter is the age of the last successful read of the orders, by any known
+	// daemon, from which the store counts as unavailable.
+	storeSilentAfter = 6 * clock.Second
+	// farSyncShare is the share of synchronisations with other data centres.
+	farSyncShare = 0.25
 	// syncTimeout limits one synchronisation.
 	syncTimeout = clock.Second
 )
@@ -27,14 +33,16 @@
 // stateSync synchronises orders, moves and daemon records with peers, so that updates
 // reach daemons that the store does not respond to.
 type stateSync struct {
-	clock         clock.Clock
-	log           zerolog.Logger
-	pool          *link.Pool
-	table         *peers.Table
-	registry      *order.Registry
-	moves         *moveTracker
-	orderFollower *feed.Follower
-	ownRecord     func() peers.Record
+	clock     clock.Clock
+	log       zerolog.Logger
+	pool      *link.Pool
+	table     *peers.Table
+	registry  *order.Registry
+	moves     *moveTracker
+	watch     *storeWatch
+	ownRecord func() peers.Record
+	// pulling is set while a synchronisation that a peer's newer orders caused runs.
+	pulling atomic.Bool
 }
 
 // Serve implements suture.Service.
@@ -53,22 +61,30 @@
 
 // interval returns the time until the next synchronisation.
 func (s *stateSync) interval() clock.Milli {
-	if s.orderFollower.Online() {
+	if s.watch.age(s.clock.Now()) < storeSilentAfter {
 		return syncInterval
 	}
 	return offlineSyncInterval
 }
 
-// randomPeer returns a random peer with an open link, false if there is none.
+// randomPeer returns a random peer with an open link, false if there is none. Traffic
+// between data centres has a cost, so most are of the own one.
 func (s *stateSync) randomPeer() (string, bool) {
-	linked := s.table.LinkedIDs()
-	self := s.ownRecord().ID
-	others := linked[:0]
-	for _, id := range linked {
-		if id != self {
-			others = append(others, id)
+	self := s.ownRecord()
+	near, far := make([]string, 0, 64), make([]string, 0, 64)
+	for _, r := range s.table.Linked() {
+		switch {
+		case r.ID == self.ID:
+		case r.Centre == self.Centre:
+			near = append(near, r.ID)
+		default:
+			far = append(far, r.ID)
 		}
 	}
+	others := near
+	if len(near) == 0 || len(far) > 0 && rand.Float64() < farSyncShare {
+		others = far
+	}
 	if len(others) == 0 {
 		return "", false
 	}
@@ -81,7 +97,7 @@
 	now := s.clock.Now()
 	req := &wire.ShareRequest{
 		Member: self.ID, OrdersEnd: s.registry.NextOffset(), PeersHash: s.table.Hash(), Moves: s.moves.encode(now),
-		Self: self.Encode(),
+		Self: self.Encode(), Store: s.watch.view(),
 	}
 	payload, err := proto.Marshal(req)
 	if err != nil {
@@ -100,6 +116,7 @@
 		s.log.Warn().Str("peer", id).Err(err).Msg("share_malformed")
 		return
 	}
+	s.watch.observe(id, reply.GetStore())
 	s.applyReply(reply)
 }
 
@@ -114,8 +131,6 @@
 		}
 		s.log.Info().Int64("end", r.GetOrdersEnd()).Int64("own_end", s.registry.NextOffset()).Msg("orders_from_peer")
 		s.registry.Replace(records, r.GetOrdersEnd())
-		// The pending read did not deliver these orders, so it hangs or fails.
-		s.orderFollower.Restart()
 	}
 	s.moves.merge(s.clock.Now(), r.GetMoves())
 	for _, p := range r.GetPeers() {
@@ -130,9 +145,13 @@
 		return nil, err
 	}
 	s.table.Merge(peers.Decode(req.GetSelf()))
+	s.watch.observe(req.GetMember(), req.GetStore())
+	if req.GetOrdersEnd() > s.registry.NextOffset() && s.pulling.CompareAndSwap(false, true) {
+		go (&orderPull{sync: s, id: req.GetMember()}).run()
+	}
 	now := s.clock.Now()
 	s.moves.merge(now, req.GetMoves())
-	reply := &wire.ShareReply{OrdersEnd: s.registry.NextOffset(), Moves: s.moves.encode(now)}
+	reply := &wire.ShareReply{OrdersEnd: s.registry.NextOffset(), Moves: s.moves.encode(now), Store: s.watch.view()}
 	if req.GetPeersHash() != s.table.Hash() {
 		for _, r := range s.table.Records() {
 			reply.Peers = append(reply.Peers, r.Encode())
@@ -157,14 +176,39 @@
 
 // syncWithAll starts a synchronisation with all linked peers and does not wait for it.
 func (s *stateSync) syncWithAll(ctx context.Context) {
+	s.syncWithEach(ctx, s.table.LinkedIDs())
+}
+
+// syncWithEach starts a synchronisation with some peers and does not wait for it.
+func (s *stateSync) syncWithEach(ctx context.Context, ids []string) {
 	self := s.ownRecord().ID
-	for _, id := range s.table.LinkedIDs() {
+	for _, id := range ids {
 		if id != self {
 			go (&peerSync{sync: s, id: id}).run(ctx)
 		}
 	}
 }
 
+// recordPush sends the own record to all linked peers after a change.
+type recordPush struct {
+	sync *stateSync
+}
+
+func (p *recordPush) run() {
+	p.sync.syncWithAll(context.Background())
+}
+
+// orderPull gets newer orders from a peer that reported them.
+type orderPull struct {
+	sync *stateSync
+	id   string
+}
+
+func (p *orderPull) run() {
+	defer p.sync.pulling.Store(false)
+	p.sync.syncWith(context.Background(), p.id)
+}
+
 // peerSync is one synchronisation that syncWithAll started.
 type peerSync struct {
 	sync *stateSync
--- a/internal/node/mesh/statuswriter.go
+++ b/internal/node/mesh/statuswriter.go
@@ -29,6 +29,9 @@
 	moves    *moveTracker
 	platform Platform
 	store    feed.Store
+	// mayRestore reports whether this daemon reads the stored statuses. The others get
+	// the phases of moves from peers.
+	mayRestore func(now clock.Milli) bool
 	// restored is set once the stored statuses were read; lastRestoreAt is the end of
 	// the last attempt.
 	restored      bool
@@ -53,7 +56,7 @@
 // restoreOnce restores the stored statuses once after the start, as soon as a move is
 // known.
 func (w *statusWriter) restoreOnce(ctx context.Context, now clock.Milli) {
-	if w.restored || !w.moves.hasMoves() || now-w.lastRestoreAt < statusRetryDelay {
+	if w.restored || !w.moves.hasMoves() || !w.mayRestore(now) || now-w.lastRestoreAt < statusRetryDelay {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
--- /dev/null
+++ b/internal/node/mesh/storewatch.go
@@ -0,0 +1,276 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
+	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/watch"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+const (
+	// orderReadInterval is the average time between reads of the orders, over all
+	// watchers, while the store reports no new ones. The answers to the pending reads
+	// of all watchers may be lost; the first one that reads again then gets the
+	// update and passes it on to its peers.
+	orderReadInterval = clock.Second
+	// orderReadJitter is the width of the range around 1 of a random factor on the
+	// wait, so that daemons that started together don't read together.
+	orderReadJitter = 0.5
+	// watchInterval is the time between decisions on who follows the store.
+	watchInterval = 200 * clock.Millisecond
+	// firstWatchDelay and restartWatchDelay are how long a daemon waits after its start
+	// for links to others, which may have what it lacks. At the first start of the
+	// system, all daemons have to announce themselves first.
+	firstWatchDelay   = 3200 * clock.Millisecond
+	restartWatchDelay = 800 * clock.Millisecond
+	// restoreWindow is how long after the start every daemon reads stored statuses.
+	restoreWindow = 5 * clock.Second
+	// catchUpLimit is how long a follower may lack records that peers have. Its read
+	// has then lost its reply.
+	catchUpLimit = clock.Second
+	// discoverRetryDelay is the time between attempts to read the records of the other
+	// daemons after the start.
+	discoverRetryDelay = 1500 * clock.Millisecond
+)
+
+// storeWatch decides whether this daemon follows the store, and tracks what it and its
+// peers know of the store.
+type storeWatch struct {
+	clock         clock.Clock
+	log           zerolog.Logger
+	self          peers.Record
+	table         *peers.Table
+	registry      *order.Registry
+	orderFollower *feed.Follower
+	peerFollower  *feed.Follower
+	announcer     *announcer
+	// notify synchronises with peers, which compare the offset of the orders.
+	notify func(ctx context.Context, ids []string)
+	// changed receives a value after the orders changed.
+	changed chan struct{}
+
+	startAt        clock.Milli
+	poll           watch.Poll
+	discovered     atomic.Bool
+	nextDiscoverAt clock.Milli
+	// behindSince is since when the follower has lacked records that peers have.
+	behindSince clock.Milli
+
+	mu sync.Mutex
+	// confirmedAt is the time of the last successful read of any daemon.
+	confirmedAt clock.Milli
+	// lost has the peers whose last call to the store failed.
+	lost     map[string]bool
+	watchers []string
+	watching bool
+}
+
+func newStoreWatch(n *Node) *storeWatch {
+	delay := restartWatchDelay
+	if n.settings.FirstStart {
+		delay = firstWatchDelay
+	}
+	now := n.clock.Now()
+	return &storeWatch{
+		clock: n.clock, log: n.log, self: n.announcer.ownRecord(), table: n.table, registry: n.registry,
+		orderFollower: n.orderFollower, peerFollower: n.peerFollower, announcer: n.announcer,
+		startAt: now + delay, confirmedAt: now, lost: make(map[string]bool), changed: make(chan struct{}, 1),
+		notify: func(context.Context, []string) {},
+	}
+}
+
+// Serve implements suture.Service.
+func (s *storeWatch) Serve(ctx context.Context) error {
+	return s.run(ctx)
+}
+
+func (s *storeWatch) run(ctx context.Context) error {
+	if !clock.Sleep(ctx, s.startAt-s.clock.Now()) {
+		return ctx.Err()
+	}
+	t := time.NewTicker(watchInterval.Duration())
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.changed:
+			s.notifyPeers(ctx)
+		case <-t.C:
+			s.update()
+			s.discover()
+			s.restartIfBehind()
+		}
+	}
+}
+
+// ordersChanged schedules the notification of peers about new orders.
+func (s *storeWatch) ordersChanged() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// discover reads the records of the other daemons once after the own record is stored.
+// Of two daemons that start at the same time, the later one then sees the earlier one.
+func (s *storeWatch) discover() {
+	now := s.clock.Now()
+	if s.discovered.Load() || !s.announcer.isStored() || now < s.nextDiscoverAt {
+		return
+	}
+	s.nextDiscoverAt = now + discoverRetryDelay
+	s.peerFollower.Poll()
+}
+
+// peersRead records a successful read of the other daemons' records.
+func (s *storeWatch) peersRead() {
+	if s.announcer.isStored() {
+		s.discovered.Store(true)
+	}
+}
+
+// update selects the watchers and makes the followers follow or idle.
+func (s *storeWatch) update() {
+	now := s.clock.Now()
+	linked := s.table.Linked()
+	age := s.age(now)
+	watchers := watch.Select(s.daemons(linked), age)
+	watching := slices.Contains(watchers, s.self.ID) || len(linked) <= 1
+	s.mu.Lock()
+	changed := watching != s.watching
+	s.watchers, s.watching = watchers, watching
+	s.mu.Unlock()
+	if changed {
+		s.log.Info().Bool("watching", watching).Int("linked", len(linked)).Float64("store_age_ms", float64(age)).Msg("store_watch")
+	}
+	s.orderFollower.SetIdle(!watching)
+	s.peerFollower.SetIdle(!watching)
+	if !watching && s.poll.Due(now, age, len(linked), rand.Float64()) {
+		s.log.Warn().Float64("store_age_ms", float64(age)).Msg("store_polled")
+		s.orderFollower.Poll()
+	}
+}
+
+// daemons returns what the selection needs of the linked daemons.
+func (s *storeWatch) daemons(linked []peers.Record) []watch.Daemon {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]watch.Daemon, 0, len(linked))
+	for i := range linked {
+		r := &linked[i]
+		lost := s.lost[r.ID]
+		if r.ID == s.self.ID {
+			lost = s.ownLost()
+		}
+		out = append(out, watch.Daemon{ID: r.ID, Centre: r.Centre, StoreLost: lost})
+	}
+	return out
+}
+
+// ownLost reports whether this daemon's last call to the store failed.
+func (s *storeWatch) ownLost() bool {
+	return s.orderFollower.Failing() || s.peerFollower.Failing()
+}
+
+// restartIfBehind repeats the read of a follower that lacks records that peers have.
+func (s *storeWatch) restartIfBehind() {
+	now := s.clock.Now()
+	if !s.isWatching() || s.orderFollower.Offset() >= s.registry.NextOffset() {
+		s.behindSince = now
+		return
+	}
+	if now-s.behindSince > catchUpLimit {
+		s.behindSince = now
+		s.orderFollower.Restart()
+	}
+}
+
+// mayRestore reports whether this daemon reads stored statuses: as a watcher, or if it
+// started recently and may not have found its peers.
+func (s *storeWatch) mayRestore(now clock.Milli) bool {
+	return s.isWatching() || now < s.startAt+restoreWindow
+}
+
+func (s *storeWatch) isWatching() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watching
+}
+
+// readWait returns how long a read of the orders may wait for new ones. It grows with the
+// number of watchers, so that the rate over all of them stays the same.
+func (s *storeWatch) readWait() clock.Milli {
+	s.mu.Lock()
+	n := max(1, len(s.watchers))
+	s.mu.Unlock()
+	jitter := 1 + orderReadJitter*(rand.Float64()-0.5)
+	return orderReadInterval * clock.Milli(float64(n)*jitter)
+}
+
+// ordersRead records a successful read of the orders by this daemon.
+func (s *storeWatch) ordersRead() {
+	s.observeAge(0)
+}
+
+func (s *storeWatch) observeAge(age clock.Milli) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmedAt = max(s.confirmedAt, s.clock.Now()-age)
+}
+
+// age returns the time since the last successful read by any known daemon.
+func (s *storeWatch) age(now clock.Milli) clock.Milli {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now - s.confirmedAt
+}
+
+// view returns what this daemon knows of the store, for a peer.
+func (s *storeWatch) view() *wire.StoreView {
+	return &wire.StoreView{Lost: s.ownLost(), AgeMs: float64(s.age(s.clock.Now()))}
+}
+
+// observe records what a peer knows of the store.
+func (s *storeWatch) observe(id string, v *wire.StoreView) {
+	if v == nil || id == "" {
+		return
+	}
+	s.observeAge(max(0, clock.Milli(v.GetAgeMs())))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v.GetLost() {
+		s.lost[id] = true
+	} else {
+		delete(s.lost, id)
+	}
+}
+
+// notifyPeers notifies peers of new orders if this daemon is a watcher: those of its own
+// data centre, and the watchers of the others, which notify theirs.
+func (s *storeWatch) notifyPeers(ctx context.Context) {
+	s.mu.Lock()
+	watchers, watching := s.watchers, s.watching
+	s.mu.Unlock()
+	if !watching {
+		return
+	}
+	var ids []string
+	for _, r := range s.table.Linked() {
+		if r.ID != s.self.ID && (r.Centre == s.self.Centre || slices.Contains(watchers, r.ID)) {
+			ids = append(ids, r.ID)
+		}
+	}
+	s.notify(ctx, ids)
+}
