retry: share the reserve of retries among the entries

Cause: each entry saved up to 3 retry tokens for each service whatever the size of the fleet. With 195 entries the saved tokens alone exceed the reserve that the platform states.

Entries now save at most their part of half of that reserve, and at least one retry, which may leave a debt. TestSharedReserve failed before for 24 and 195 entries (240 of 215, 2340 of 2270).

--- a/internal/core/retry/budget_test.go
+++ b/internal/core/retry/budget_test.go
@@ -76,3 +76,70 @@
 	}
 	g.Expect((extra + callsPerRun*repeated) / innerCalls).To(BeNumerically("<", maxRetryFraction))
 }
+
+// Guards against a fleet whose entries together retry more than its upstreams allow in
+// one window: the saved tokens grew with the number of entries. The upstreams shed half
+// of the calls for one window, after a calm time in which all entries saved tokens.
+// Some calls come from runs of another service that were themselves retried.
+func TestSharedReserve(t *testing.T) {
+	tests := map[string]struct {
+		entries, calls int
+		reserve        float64
+	}{
+		"11 entries":   {11, 360, 60},
+		"24 entries":   {24, 920, 31},
+		"73 entries":   {73, 3200, 186},
+		"195 entries":  {195, 9200, 430},
+		"800 entries":  {800, 36_000, 1760},
+		"3200 entries": {3200, 150_000, 7040},
+	}
+	const window, reserveShare, maxRetryFraction = 10 * clock.Second, 0.5, 0.2
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			fleet := func() int { return tt.entries }
+			newPolicy := func() *retry.Policy {
+				return retry.New(retry.WithTokensPerCall(0.1, 3), retry.WithFreeFailover(6), retry.WithErrorCost(2),
+					retry.WithSharedReserve(reserveShare*tt.reserve, fleet))
+			}
+			repeats := 0
+			for range tt.entries {
+				repeats += retriesOfShedCalls(newPolicy(), newPolicy(), max(1, tt.calls/tt.entries), window)
+			}
+			g.Expect(float64(repeats)).To(BeNumerically("<=", maxRetryFraction*float64(tt.calls)+tt.reserve))
+			// Retries must remain possible.
+			g.Expect(repeats).To(BeNumerically(">=", tt.entries))
+		})
+	}
+}
+
+// retriesOfShedCalls plays one window of an entry in which every second call is shed and
+// every second run of the calling service fails. It returns the repeated calls.
+func retriesOfShedCalls(own, callers *retry.Policy, calls int, window clock.Milli) int {
+	shed := call.Result{Outcome: call.OutcomeNotRun, Reason: call.ReasonShed}
+	failed := call.Result{Outcome: call.OutcomeAnswered, Failed: true}
+	for range 100 {
+		own.RecordFirstAttempt(startedAt)
+		callers.RecordFirstAttempt(startedAt)
+	}
+	repeats := 0
+	for i := range calls {
+		now := startedAt + window*clock.Milli(i)/clock.Milli(calls)
+		own.RecordFirstAttempt(now)
+		callers.RecordFirstAttempt(now)
+		if i%2 != 0 {
+			continue
+		}
+		r := attempt(true, 1, 0, shed)
+		r.Request.Deadline = now + clock.Second
+		for ; own.Decide(now, r).Retry; r.Number++ {
+			repeats++
+		}
+		r = attempt(true, 1, 1, failed)
+		r.Request.Deadline = now + clock.Second
+		if callers.Decide(now, r).Retry {
+			repeats++
+		}
+	}
+	return repeats
+}
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -76,9 +76,11 @@
 type options struct {
 	tokensPerCall float64
 	maxTokens     float64
-	maxAttempts   int
-	freeFailover  bool
-	errorCost     float64
+	// sharedMaxTokens, if set, returns a limit that replaces a higher maxTokens.
+	sharedMaxTokens func() float64
+	maxAttempts     int
+	freeFailover    bool
+	errorCost       float64
 }
 
 // WithTokensPerCall sets the number of tokens that each first attempt adds to the
@@ -87,6 +89,15 @@
 	return func(o *options) { o.tokensPerCall, o.maxTokens = tokens, maxTokens }
 }
 
+// WithSharedReserve bounds the tokens that are saved up by the entry's part of a reserve
+// of all entries, in retries. Fleet returns the number of entries. A part is never below
+// one retry.
+func WithSharedReserve(reserve float64, fleet func() int) Option {
+	return func(o *options) {
+		o.sharedMaxTokens = func() float64 { return max(1, reserve/float64(max(1, fleet()))) }
+	}
+}
+
 // WithFreeFailover lets a call that no upstream received be sent to another target
 // at no cost, up to maxAttempts in total. Only attempts that may have run the call
 // then count against Request.MaxAttempts.
@@ -115,7 +126,14 @@
 		p.tokens = min(reserveTokens, p.tokens+reserveTokensPerSecond*float64((now-p.lastRefillAt)/clock.Second))
 	}
 	p.lastRefillAt = now
-	p.tokens = min(p.opts.maxTokens, p.tokens+p.opts.tokensPerCall)
+	p.tokens = min(p.maxTokens(), p.tokens+p.opts.tokensPerCall)
+}
+
+func (p *Policy) maxTokens() float64 {
+	if p.opts.sharedMaxTokens == nil {
+		return p.opts.maxTokens
+	}
+	return min(p.opts.maxTokens, p.opts.sharedMaxTokens())
 }
 
 // Decide decides whether to retry a call and charges the budget for it. It must be
@@ -135,7 +153,8 @@
 		return Decision{Retry: true, Reason: call.ReasonRetry, Final: true}
 	}
 	cost := p.retryCost(a)
-	if p.tokens < cost {
+	// The reserve may be smaller than the cost, which leaves a debt.
+	if p.tokens < min(cost, p.maxTokens()) {
 		return Decision{Reason: call.ReasonRetryBudget, Final: true}
 	}
 	p.tokens -= cost
@@ -221,7 +240,7 @@
 	if !r.Repeatable || r.Retried || a.Number > 1 || r.Depth > maxHedgeDepth || r.Class != call.Interactive {
 		return 0, false
 	}
-	if p.refusalRate > maxHedgeRefusalRate || p.tokens < minHedgeTokenFraction*p.opts.maxTokens {
+	if p.refusalRate > maxHedgeRefusalRate || p.tokens < minHedgeTokenFraction*p.maxTokens() {
 		return 0, false
 	}
 	delay, ok := p.tailLatency.value()
@@ -234,7 +253,7 @@
 // MayHedge reports whether the budget still allows a planned hedge. It must be
 // called when the hedge is due, as other calls may have spent the tokens since.
 func (p *Policy) MayHedge() bool {
-	return p.tokens >= minHedgeTokenFraction*p.opts.maxTokens && p.refusalRate <= maxHedgeRefusalRate
+	return p.tokens >= minHedgeTokenFraction*p.maxTokens() && p.refusalRate <= maxHedgeRefusalRate
 }
 
 // RecordHedge charges the budget for a hedge.
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -143,7 +143,7 @@
 		guard.WithSampleHandler(n.recordUpstream), guard.WithRefusalHandler(n.recordRefusal))
 	n.entry = entry.New(n.self, n.clock, n.pool, n.table, &rules{registry: n.registry, moves: n.moves},
 		entry.WithLogger(n.log), entry.WithProtocol(p.CallerProtocol(n.routes)), entry.WithNoTargetReason(call.ReasonNoTarget),
-		entry.WithPicker(newPicker), entry.WithRetrier(newRetrier), entry.WithProbeRate(0), entry.WithBodyLimits(maxBufferedBodyBytes, maxInlineBodyBytes),
+		entry.WithPicker(newPicker), entry.WithRetrier(n.newRetrier), entry.WithProbeRate(0), entry.WithBodyLimits(maxBufferedBodyBytes, maxInlineBodyBytes),
 		entry.WithSummaryHandler(n.recordCall))
 	self := peers.Record{
 		ID: n.self.ID, Incarnation: n.self.Incarnation, Seq: 1,
--- a/internal/node/mesh/platform.go
+++ b/internal/node/mesh/platform.go
@@ -32,6 +32,10 @@
 	// ColdOverage is the tolerated multiple of the stated call rate of a cold
 	// upstream; zero means that it is not configured.
 	ColdOverage float64
+	// RetryReserve is the number of retries that all daemons together may send to a
+	// service within a few seconds, beyond a fraction of its calls. Zero means that it
+	// is not limited.
+	RetryReserve int
 	// FirstStart is set when the whole system starts for the first time, so that the
 	// store has no records of daemons.
 	FirstStart bool
--- a/internal/node/mesh/tuning.go
+++ b/internal/node/mesh/tuning.go
@@ -19,6 +19,9 @@
 	// calls.
 	retryTokensPerCall = 0.1
 	maxRetryTokens     = 3
+	// retryReserveShare is the part of the retry reserve that entries may save up. The
+	// rest is for retries of calls that upstreams repeat, which entries can't see.
+	retryReserveShare = 0.5
 	// errorRetryCost is the number of tokens that a retry after an upstream's error
 	// takes. Such a retry makes the upstream repeat its own calls to other services,
 	// which count there too.
@@ -54,6 +57,12 @@
 	return place.New(r)
 }
 
-func newRetrier() entry.Retrier {
-	return retry.New(retry.WithTokensPerCall(retryTokensPerCall, maxRetryTokens), retry.WithFreeFailover(maxTargetsPerCall), retry.WithErrorCost(errorRetryCost))
+func (n *Node) newRetrier() entry.Retrier {
+	opts := []retry.Option{
+		retry.WithTokensPerCall(retryTokensPerCall, maxRetryTokens), retry.WithFreeFailover(maxTargetsPerCall), retry.WithErrorCost(errorRetryCost),
+	}
+	if n.settings.RetryReserve > 0 {
+		opts = append(opts, retry.WithSharedReserve(retryReserveShare*float64(n.settings.RetryReserve), func() int { return len(n.table.Records()) }))
+	}
+	return retry.New(opts...)
 }
