platform: bound what servers and callers in trouble send without end

Found: the HTTP client logs up to 4 KiB of each unsolicited response to standard error, past the bounded log; such lines now are events of 200 bytes. A response with another request's id left its connection open, so that an empty body could shift all later responses by one; the connection is now closed.

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -40,6 +40,7 @@
 	debug.SetMemoryLimit(memoryLimitBytes)
 	log, out := logs.NewAsync(os.Stdout, cfg.Output.ZerologLevel())
 	defer func() { _ = out.Close() }()
+	logs.CaptureStandard(log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	d, err := daemon.New(cfg, log)
--- a/commands/mesh.go
+++ b/commands/mesh.go
@@ -56,6 +56,7 @@
 	}
 	log, out := logs.NewAsync(os.Stdout, level, logs.WithRateLimit(meshLogLinesPerSecond))
 	defer func() { _ = out.Close() }()
+	logs.CaptureStandard(log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	adapter := platform.New(s, log)
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -99,6 +99,7 @@
 		x.result.NotRun, x.result.Failed = true, false
 		return x.stream.refuse(x.callStart, call.OutcomeNotRun, call.ReasonShed, "") && x.bodyReceived()
 	}
+	x.trace.closeConn()
 	return x.refuseUnusableResponse(call.ReasonInvalidAnswer, info.InvalidReason)
 }
 
--- a/internal/path/guard/upstream.go
+++ b/internal/path/guard/upstream.go
@@ -105,6 +105,14 @@
 	return c.written.Load() > t.writtenBefore.Load()
 }
 
+// closeConn closes the connection, so that nothing that still arrives on it can be taken
+// for the response to a later request.
+func (t *connTrace) closeConn() {
+	if c := t.conn.Load(); c != nil {
+		_ = c.Close()
+	}
+}
+
 // announcedTrailers returns the announced trailers without values, nil if there are
 // none.
 func announcedTrailers(c *wire.CallStart) http.Header {
