watch: one watcher a data centre, two relays, fewer reads at the start

Only the first of each data centre (three in all at least) reads the store now; the second is a relay, which passes on what watchers of other data centres read, so that a data centre whose watcher freezes is still served. A daemon that others have connected to does not read their records itself at the first start.

--- a/internal/fleet/watch/watch.go
+++ b/internal/fleet/watch/watch.go
@@ -1,8 +1,9 @@
 // Package watch decides which daemons follow the platform's store for the others, so
 // that the number of calls to the store does not grow with the fleet.
 //
-// A few daemons of each data centre are watchers. They are selected by a hash over the
-// daemons that can be reached, so there is no lease to lose: when a watcher fails, the
+// A few daemons are watchers, which read the store, and two of each data centre are relays,
+// which pass on what the watchers of other data centres read. Both are selected by a hash
+// over the daemons that can be reached, so there is no lease to lose: when one fails, the
 // others agree on the next one as soon as their links to it are down. Daemons that lose
 // sight of the store's state altogether read it themselves.
 package watch
@@ -15,8 +16,11 @@
 )
 
 const (
-	// PerCentre is the number of watchers of a data centre.
-	PerCentre = 2
+	// MinWatchers is the least number of watchers of a fleet that has so many daemons. Each
+	// data centre has at least one.
+	MinWatchers = 3
+	// RelaysPerCentre is the number of relays of a data centre.
+	RelaysPerCentre = 2
 	// StaleAfter is the age of the last successful read by any known daemon from which
 	// the store's state counts as lost.
 	StaleAfter = 8 * clock.Second
@@ -38,10 +42,17 @@
 	StoreLost bool
 }
 
-// Select returns the watchers. The age is that of the last successful read of the store
-// by any known daemon. While no daemon reaches the store, the duty does not pass on, as
-// each further watcher would only add failing calls.
-func Select(daemons []Daemon, age clock.Milli) []string {
+// Duties are the daemons that have a duty, each sorted by id. Every
+// watcher is a relay too.
+type Duties struct {
+	Watchers []string
+	Relays   []string
+}
+
+// Select returns the duties. The age is that of the last successful read of the store by
+// any known daemon. While no daemon reaches the store, the duties do not pass on, as each
+// further watcher would only add failing calls.
+func Select(daemons []Daemon, age clock.Milli) Duties {
 	byCentre := make(map[string][]string)
 	lost := make(map[string][]string)
 	for _, d := range daemons {
@@ -51,16 +62,21 @@
 		}
 		byCentre[d.Centre] = append(byCentre[d.Centre], d.ID)
 	}
-	out := make([]string, 0, PerCentre*(len(byCentre)+len(lost)))
-	for centre, ids := range byCentre {
-		out = append(out, rank.Top(duty, ids, PerCentre)...)
-		delete(lost, centre)
+	for centre, ids := range lost {
+		if len(byCentre[centre]) == 0 {
+			// A data centre whose daemons have all lost the store still needs watchers.
+			byCentre[centre] = ids
+		}
 	}
-	// A data centre whose daemons have all lost the store still needs watchers.
-	for _, ids := range lost {
-		out = append(out, rank.Top(duty, ids, PerCentre)...)
+	var out Duties
+	perCentre := (MinWatchers + len(byCentre) - 1) / max(1, len(byCentre))
+	for _, ids := range byCentre {
+		top := rank.Top(duty, ids, max(perCentre, RelaysPerCentre))
+		out.Watchers = append(out.Watchers, top[:min(perCentre, len(top))]...)
+		out.Relays = append(out.Relays, top...)
 	}
-	slices.Sort(out)
+	slices.Sort(out.Watchers)
+	slices.Sort(out.Relays)
 	return out
 }
 
--- a/internal/node/mesh/storewatch.go
+++ b/internal/node/mesh/storewatch.go
@@ -39,6 +39,10 @@
 	// catchUpLimit is how long a follower may lack records that peers have. Its read
 	// has then lost its reply.
 	catchUpLimit = clock.Second
+	// maxDiscoverDelay is the longest delay of the first attempt to read the records of
+	// the other daemons. A daemon with discoveredLinks links, one to itself, needs none.
+	maxDiscoverDelay = 1200 * clock.Millisecond
+	discoveredLinks  = 4
 	// discoverRetryDelay is the time between attempts to read the records of the other
 	// daemons after the start.
 	discoverRetryDelay = 1500 * clock.Millisecond
@@ -72,7 +76,7 @@
 	confirmedAt clock.Milli
 	// lost has the peers whose last call to the store failed.
 	lost     map[string]bool
-	watchers []string
+	duties   watch.Duties
 	watching bool
 }
 
@@ -96,9 +100,6 @@
 }
 
 func (s *storeWatch) run(ctx context.Context) error {
-	if !clock.Sleep(ctx, s.startAt-s.clock.Now()) {
-		return ctx.Err()
-	}
 	t := time.NewTicker(watchInterval.Duration())
 	defer t.Stop()
 	for {
@@ -108,9 +109,11 @@
 		case <-s.changed:
 			s.notifyPeers(ctx)
 		case <-t.C:
-			s.update()
 			s.discover()
-			s.restartIfBehind()
+			if s.clock.Now() >= s.startAt {
+				s.update()
+				s.restartIfBehind()
+			}
 		}
 	}
 }
@@ -123,15 +126,26 @@
 	}
 }
 
-// discover reads the records of the other daemons once after the own record is stored.
-// Of two daemons that start at the same time, the later one then sees the earlier one.
+// discover reads the records of the other daemons after the own record is stored, unless
+// others have opened links meanwhile: one that has read the records connects to all. Of two
+// daemons that start at the same time, the later one sees the earlier one.
 func (s *storeWatch) discover() {
 	now := s.clock.Now()
-	if s.discovered.Load() || !s.announcer.isStored() || now < s.nextDiscoverAt {
+	if s.discovered.Load() || !s.announcer.isStored() {
+		return
+	}
+	if s.nextDiscoverAt == 0 {
+		// At different times, so that a few read for all.
+		s.nextDiscoverAt = now + clock.Milli(rand.Float64())*maxDiscoverDelay
+	}
+	if len(s.table.LinkedIDs()) >= discoveredLinks {
+		s.discovered.Store(true)
 		return
 	}
-	s.nextDiscoverAt = now + discoverRetryDelay
-	s.peerFollower.Poll()
+	if now >= s.nextDiscoverAt {
+		s.nextDiscoverAt = now + discoverRetryDelay
+		s.peerFollower.Poll()
+	}
 }
 
 // peersRead records a successful read of the other daemons' records.
@@ -146,11 +160,11 @@
 	now := s.clock.Now()
 	linked := s.table.Linked()
 	age := s.age(now)
-	watchers := watch.Select(s.daemons(linked), age)
-	watching := slices.Contains(watchers, s.self.ID) || len(linked) <= 1
+	duties := watch.Select(s.daemons(linked), age)
+	watching := slices.Contains(duties.Watchers, s.self.ID) || len(linked) <= 1
 	s.mu.Lock()
 	changed := watching != s.watching
-	s.watchers, s.watching = watchers, watching
+	s.duties, s.watching = duties, watching
 	s.mu.Unlock()
 	if changed {
 		s.log.Info().Bool("watching", watching).Int("linked", len(linked)).Float64("store_age_ms", float64(age)).Msg("store_watch")
@@ -213,7 +227,7 @@
 // number of watchers, so that the rate over all of them stays the same.
 func (s *storeWatch) readWait() clock.Milli {
 	s.mu.Lock()
-	n := max(1, len(s.watchers))
+	n := max(1, len(s.duties.Watchers))
 	s.mu.Unlock()
 	jitter := 1 + orderReadJitter*(rand.Float64()-0.5)
 	return orderReadInterval * clock.Milli(float64(n)*jitter)
@@ -257,18 +271,18 @@
 	}
 }
 
-// notifyPeers notifies peers of new orders if this daemon is a watcher: those of its own
-// data centre, and the watchers of the others, which notify theirs.
+// notifyPeers notifies peers of new orders if this daemon is a watcher or a relay: those of
+// its own data centre, and the relays of the others, which notify theirs.
 func (s *storeWatch) notifyPeers(ctx context.Context) {
 	s.mu.Lock()
-	watchers, watching := s.watchers, s.watching
+	relays, watching := s.duties.Relays, s.watching
 	s.mu.Unlock()
-	if !watching {
+	if !watching && !slices.Contains(relays, s.self.ID) {
 		return
 	}
 	var ids []string
 	for _, r := range s.table.Linked() {
-		if r.ID != s.self.ID && (r.Centre == s.self.Centre || slices.Contains(watchers, r.ID)) {
+		if r.ID != s.self.ID && (r.Centre == s.self.Centre || slices.Contains(relays, r.ID)) {
 			ids = append(ids, r.ID)
 		}
 	}
