mesh: report only reads of the store that took place

Cause: a daemon that starts counted its start as a read of the store and reported that age to its peers. Daemons that had failed to read counted as the only ones without the store, the duty passed through the fleet, and after the store's return nearly all counted as lost for good.

The age is now missing until a read is known, and a lost store expires after 5 s for a daemon that does not call it.

--- a/internal/node/mesh/storewatch.go
+++ b/internal/node/mesh/storewatch.go
@@ -36,6 +36,8 @@
 	restartWatchDelay = 800 * clock.Millisecond
 	// restoreWindow is how long after the start every daemon reads stored statuses.
 	restoreWindow = 5 * clock.Second
+	// lossTTL is how long a daemon counts as unable to reach the store after a report.
+	lossTTL = 5 * clock.Second
 	// catchUpLimit is how long a follower may lack records that peers have. Its read
 	// has then lost its reply.
 	catchUpLimit = clock.Second
@@ -64,6 +66,7 @@
 	// changed receives a value after the orders changed.
 	changed chan struct{}
 
+	startedAt      clock.Milli
 	startAt        clock.Milli
 	poll           watch.Poll
 	discovered     atomic.Bool
@@ -72,10 +75,12 @@
 	behindSince clock.Milli
 
 	mu sync.Mutex
-	// confirmedAt is the time of the last successful read of any daemon.
+	// confirmedAt is the time of the last successful read of any daemon, zero if none is
+	// known.
 	confirmedAt clock.Milli
-	// lost has the peers whose last call to the store failed.
-	lost     map[string]bool
+	// lostAt has the peers whose last call to the store failed, with the time of the
+	// latest such report. That of this daemon is set while it watches.
+	lostAt   map[string]clock.Milli
 	duties   watch.Duties
 	watching bool
 }
@@ -89,7 +94,7 @@
 	return &storeWatch{
 		clock: n.clock, log: n.log, self: n.announcer.ownRecord(), table: n.table, registry: n.registry,
 		orderFollower: n.orderFollower, peerFollower: n.peerFollower, announcer: n.announcer,
-		startAt: now + delay, confirmedAt: now, lost: make(map[string]bool), changed: make(chan struct{}, 1),
+		startAt: now + delay, startedAt: now, lostAt: make(map[string]clock.Milli), changed: make(chan struct{}, 1),
 		notify: func(context.Context, []string) {},
 	}
 }
@@ -159,6 +164,7 @@
 func (s *storeWatch) update() {
 	now := s.clock.Now()
 	linked := s.table.Linked()
+	s.recordOwnLoss(now)
 	age := s.age(now)
 	duties := watch.Select(s.daemons(linked), age)
 	watching := slices.Contains(duties.Watchers, s.self.ID) || len(linked) <= 1
@@ -179,23 +185,35 @@
 
 // daemons returns what the selection needs of the linked daemons.
 func (s *storeWatch) daemons(linked []peers.Record) []watch.Daemon {
+	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]watch.Daemon, 0, len(linked))
 	for i := range linked {
 		r := &linked[i]
-		lost := s.lost[r.ID]
-		if r.ID == s.self.ID {
-			lost = s.ownLost()
-		}
-		out = append(out, watch.Daemon{ID: r.ID, Centre: r.Centre, StoreLost: lost})
+		out = append(out, watch.Daemon{ID: r.ID, Centre: r.Centre, StoreLost: s.isLostLocked(r.ID, now)})
 	}
 	return out
 }
 
-// ownLost reports whether this daemon's last call to the store failed.
-func (s *storeWatch) ownLost() bool {
-	return s.orderFollower.Failing() || s.peerFollower.Failing()
+// recordOwnLoss records whether this daemon's last call to the store failed. One that no
+// longer calls the store may reach it again, so its loss expires.
+func (s *storeWatch) recordOwnLoss(now clock.Milli) {
+	failing := s.orderFollower.Failing() || s.peerFollower.Failing()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !failing:
+		delete(s.lostAt, s.self.ID)
+	case s.watching:
+		s.lostAt[s.self.ID] = now
+	}
+}
+
+// isLostLocked reports whether a daemon lost the store. The caller holds the lock.
+func (s *storeWatch) isLostLocked(id string, now clock.Milli) bool {
+	at, ok := s.lostAt[id]
+	return ok && now-at < lossTTL
 }
 
 // restartIfBehind repeats the read of a follower that lacks records that peers have.
@@ -244,16 +262,25 @@
 	s.confirmedAt = max(s.confirmedAt, s.clock.Now()-age)
 }
 
-// age returns the time since the last successful read by any known daemon.
+// age returns the time since the last successful read by any known daemon, or since the
+// start if none is known.
 func (s *storeWatch) age(now clock.Milli) clock.Milli {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now - s.confirmedAt
+	return now - max(s.confirmedAt, s.startedAt)
 }
 
-// view returns what this daemon knows of the store, for a peer.
+// view returns what this daemon knows of the store, for a peer. The start of this daemon
+// says nothing about the store, so the age is missing until a read is known.
 func (s *storeWatch) view() *wire.StoreView {
-	return &wire.StoreView{Lost: s.ownLost(), AgeMs: float64(s.age(s.clock.Now()))}
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := &wire.StoreView{Lost: s.isLostLocked(s.self.ID, now)}
+	if s.confirmedAt > 0 {
+		v.Read, v.AgeMs = true, float64(now-s.confirmedAt)
+	}
+	return v
 }
 
 // observe records what a peer knows of the store.
@@ -261,13 +288,15 @@
 	if v == nil || id == "" {
 		return
 	}
-	s.observeAge(max(0, clock.Milli(v.GetAgeMs())))
+	if v.GetRead() {
+		s.observeAge(max(0, clock.Milli(v.GetAgeMs())))
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if v.GetLost() {
-		s.lost[id] = true
+		s.lostAt[id] = s.clock.Now()
 	} else {
-		delete(s.lost, id)
+		delete(s.lostAt, id)
 	}
 }
 
--- /dev/null
+++ b/internal/node/mesh/storewatch_test.go
@@ -0,0 +1,66 @@
+package mesh
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+// Guards against a daemon that starts while the store is away and makes the others
+// believe that the store was read. The duties of daemons that lost the store then passed
+// through the whole fleet, and nobody read the store after its return.
+func TestStoreView(t *testing.T) {
+	const started = 1000 * clock.Second
+	tests := map[string]struct {
+		observe []*wire.StoreView
+		wait    clock.Milli
+		read    bool
+		age     clock.Milli
+	}{
+		"just started":            {nil, 0, false, 0},
+		"started, peer as well":   {[]*wire.StoreView{{}}, 2000, false, 2000},
+		"peer heard of a read":    {[]*wire.StoreView{{Read: true, AgeMs: 300}}, 500, true, 800},
+		"older report comes last": {[]*wire.StoreView{{Read: true, AgeMs: 300}, {Read: true, AgeMs: 9000}}, 500, true, 800},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			clk := clock.NewManual(started)
+			s := &storeWatch{clock: clk, startedAt: started, lostAt: make(map[string]clock.Milli)}
+			for _, v := range tt.observe {
+				s.observe("peer", v)
+			}
+			clk.Advance(tt.wait)
+			v := s.view()
+			g.Expect(v.GetRead()).To(Equal(tt.read))
+			if tt.read {
+				g.Expect(v.GetAgeMs()).To(BeNumerically("==", tt.age))
+			}
+			// Without a read, the start of this daemon begins the age.
+			g.Expect(s.age(clk.Now())).To(Equal(min(tt.age, tt.wait)))
+		})
+	}
+}
+
+// Guards against a daemon that counts as unable to reach the store for good because it
+// no longer calls it.
+func TestStoreLossExpires(t *testing.T) {
+	g := NewWithT(t)
+	clk := clock.NewManual(1000 * clock.Second)
+	s := &storeWatch{clock: clk, lostAt: make(map[string]clock.Milli)}
+	isLost := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.isLostLocked("peer", clk.Now())
+	}
+	s.observe("peer", &wire.StoreView{Lost: true})
+	g.Expect(isLost()).To(BeTrue())
+	clk.Advance(lossTTL)
+	g.Expect(isLost()).To(BeFalse())
+	s.observe("peer", &wire.StoreView{Lost: true})
+	s.observe("peer", &wire.StoreView{})
+	g.Expect(isLost()).To(BeFalse())
+}
