link: use one connection for each two daemons and close idle streams

Cause: each daemon dialed every other one, so a fleet of 195 had 195 x 194 sessions, each with three goroutines and buffers at both ends, and kept streams open for calls that come once in half a minute. Memory was 43 MB a daemon there, 22 MB at 69.

Pool and server now share sessions: the daemon with the lower id dials, the other uses the same session, and dials itself after 0.5 s without one. The accepting side closes a session that is silent for longer than the dialer's keep-alive allows, so that it notices a dead peer as soon as before. If both dial at the same time, both sessions stay. Streams that were idle for 2 s are closed.

--- a/internal/node/mesh/links.go
+++ b/internal/node/mesh/links.go
@@ -23,6 +23,12 @@
 	unreachableAfter       = clock.Minute
 	unreachableRedialDelay = 30 * clock.Second
 	maxConcurrentDials     = 8
+	// passiveDialDelay is how long a daemon leaves it to one with a lower id to open the
+	// link between them.
+	passiveDialDelay = 500 * clock.Millisecond
+	// streamIdleTimeout is how long a stream is kept for further calls. A daemon calls
+	// most of the others seldom.
+	streamIdleTimeout = 2 * clock.Second
 )
 
 // linkTiming detects a peer that does not respond within about two seconds.
@@ -43,15 +49,18 @@
 	// onConnect is called with the id of each daemon that a link was opened to.
 	onConnect func(ctx context.Context, id string)
 	// dialSlots is a semaphore of maxConcurrentDials.
-	dialSlots chan struct{}
-	redials   map[string]*redialState
+	dialSlots    chan struct{}
+	redials      map[string]*redialState
+	idleClosedAt clock.Milli
 	// newPeers receives daemons that connected and are not in the table.
 	newPeers chan string
 }
 
 // redialState schedules the attempts to connect to one daemon.
 type redialState struct {
-	dialing    bool
+	dialing bool
+	// downSince is since when there is no link.
+	downSince  clock.Milli
 	nextDialAt clock.Milli
 	delay      clock.Milli
 	// failingSince is when the first of the failures in a row was recorded, zero
@@ -118,19 +127,33 @@
 			for _, r := range l.table.Records() {
 				l.checkLink(ctx, r.ID)
 			}
+			l.closeIdleStreams()
 		}
 	}
 }
 
+// closeIdleStreams closes streams that calls left idle.
+func (l *links) closeIdleStreams() {
+	now := l.clock.Now()
+	if now-l.idleClosedAt < streamIdleTimeout/2 {
+		return
+	}
+	l.idleClosedAt = now
+	l.pool.CloseIdleStreams(streamIdleTimeout)
+}
+
 // checkLink updates the state of the link to a daemon and opens one if an attempt is
 // due. Daemons that stopped as planned are included: one may have restarted, and if it
 // can't reach the store it knows no peers.
 func (l *links) checkLink(ctx context.Context, id string) {
 	up := l.pool.HasSession(id)
-	l.setLinked(id, up || id == l.self)
+	if l.setLinked(id, up || id == l.self) && up {
+		// The peer opened the link.
+		go (&connected{links: l, id: id}).run(ctx)
+	}
 	redial := l.redials[id]
 	if redial == nil {
-		redial = &redialState{result: make(chan bool, 1)}
+		redial = &redialState{result: make(chan bool, 1), downSince: l.clock.Now()}
 		l.redials[id] = redial
 	}
 	now := l.clock.Now()
@@ -139,7 +162,10 @@
 		redial.recordResult(now, ok)
 	default:
 	}
-	if up || redial.dialing || now < redial.nextDialAt {
+	if up {
+		redial.downSince = now
+	}
+	if up || redial.dialing || now < redial.nextDialAt || id < l.self && now-redial.downSince < passiveDialDelay {
 		return
 	}
 	select {
@@ -151,10 +177,22 @@
 }
 
 // setLinked records whether a link is open and logs a change.
-func (l *links) setLinked(id string, up bool) {
-	if l.table.SetLinked(id, up) {
+func (l *links) setLinked(id string, up bool) (changed bool) {
+	changed = l.table.SetLinked(id, up)
+	if changed {
 		l.log.Info().Str("peer", id).Bool("up", up).Msg("peer_link")
 	}
+	return changed
+}
+
+// connected handles a link that a peer opened.
+type connected struct {
+	links *links
+	id    string
+}
+
+func (c *connected) run(ctx context.Context) {
+	c.links.onConnect(ctx, c.id)
 }
 
 // dialer opens a link to one daemon and sends the result.
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -187,6 +187,7 @@
 	n.peerServer = &link.SupervisedServer{Server: link.NewServer(n.identity(), n.clock,
 		link.WithLogger(n.log), link.WithStreamHandler(n.guard.HandleStream), link.WithPeerHandler(n.links.handlePeer),
 		link.WithControlHandler(controlShare, n.sync.handleRequest), link.WithControlHandler(controlTallies, n.reporter.handleReport))}
+	link.ShareSessions(n.pool, n.peerServer.Server)
 	pipeline := pipe.New(pipe.WithRepeatable(n.entry.MayRepeat), pipe.WithStopping(n.lifecycle.stopping.Load))
 	n.callerServer = newServer(alice.New(pipeline.Middleware).Then(n.entry))
 	n.callerServer.Pipeline = pipeline
--- a/internal/wire/link/coalesce.go
+++ b/internal/wire/link/coalesce.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync/atomic"
+	"time"
 )
 
 const (
@@ -19,6 +21,17 @@
 type coalescingConn struct {
 	net.Conn
 	pending []byte
+	// maxSilence is the longest time without a byte of the peer, in nanoseconds. Zero
+	// means that it is not limited.
+	maxSilence atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *coalescingConn) Read(b []byte) (int, error) {
+	if d := time.Duration(c.maxSilence.Load()); d > 0 {
+		_ = c.SetReadDeadline(time.Now().Add(d))
+	}
+	return c.Conn.Read(b)
 }
 
 // Write implements net.Conn. Only the session's sending goroutine calls it.
--- a/internal/wire/link/pool.go
+++ b/internal/wire/link/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/singleflight"
@@ -17,6 +18,8 @@
 	clock  clock.Clock
 	timing Timing
 	dials  singleflight.Group
+	// serveSession, if set, serves the streams that peers open on dialed sessions.
+	serveSession func(*Session)
 
 	mu       sync.RWMutex
 	sessions map[string]*Session
@@ -31,6 +34,36 @@
 	return func(p *Pool) { p.timing = t }
 }
 
+// ShareSessions makes the pool and the server use each other's sessions, so that two
+// daemons need one connection between them. It must be called before either is used. The
+// id of a daemon must be its address.
+func ShareSessions(p *Pool, s *Server) {
+	p.serveSession = s.serveDialed
+	s.pool = p
+}
+
+// adopt adds a session that a peer opened, unless there is an open one.
+func (p *Pool) adopt(s *Session) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.closed {
+		p.preferLocked(s)
+	}
+}
+
+// preferLocked returns the session to use for the peer of s: an open one to the same or a
+// later incarnation, else s. If two daemons dial each other at the same time, both
+// sessions stay open, as the peer may use the other one. The caller holds the lock.
+func (p *Pool) preferLocked(s *Session) *Session {
+	addr := s.Peer().Member
+	old := p.sessions[addr]
+	if old != nil && !old.Closed() && old.Peer().Incarnation >= s.Peer().Incarnation {
+		return old
+	}
+	p.sessions[addr] = s
+	return s
+}
+
 // NewPool returns an empty pool that identifies itself to peers as self.
 func NewPool(self Identity, clk clock.Clock, opts ...PoolOption) *Pool {
 	p := &Pool{self: self, clock: clk, timing: defaultTiming, sessions: make(map[string]*Session)}
@@ -127,6 +160,16 @@
 	s.Close()
 }
 
+// CloseIdleStreams closes the streams that were not used for d.
+func (p *Pool) CloseIdleStreams(d clock.Milli) {
+	t := time.Now().Add(-d.Duration())
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, s := range p.sessions {
+		s.closeIdleStreams(t)
+	}
+}
+
 // Size returns the number of sessions in the pool, including closed ones that were
 // not dropped.
 func (p *Pool) Size() int {
@@ -193,6 +236,10 @@
 		s.Close()
 		return nil, ErrClosed
 	}
-	p.sessions[addr] = s
-	return s, nil
+	if p.serveSession == nil {
+		p.sessions[addr] = s
+		return s, nil
+	}
+	go p.serveSession(s)
+	return p.preferLocked(s), nil
 }
--- a/internal/wire/link/server.go
+++ b/internal/wire/link/server.go
@@ -42,11 +42,16 @@
 	maxSessions     int
 	maxStreams      int64
 	peerHandler     func(Peer)
+	// pool, if set, also uses the accepted sessions.
+	pool *Pool
 
 	mu sync.Mutex
 	// sessions has a nil value for a connection during its handshake.
 	sessions map[net.Conn]*Session
-	wg       sync.WaitGroup
+	// dialed has the sessions that the pool dialed.
+	dialed map[*Session]bool
+	closed bool
+	wg     sync.WaitGroup
 }
 
 // ServerOption changes a Server.
@@ -95,6 +100,7 @@
 		maxStreams:      DefaultMaxStreams,
 		peerHandler:     func(Peer) {},
 		sessions:        make(map[net.Conn]*Session),
+		dialed:          make(map[*Session]bool),
 	}
 	for _, o := range opts {
 		o(s)
@@ -147,6 +153,10 @@
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
+	for sess := range s.dialed {
+		sess.Close()
+	}
 	for conn, sess := range s.sessions {
 		if sess != nil {
 			sess.Close()
@@ -173,6 +183,38 @@
 	s.sessions[conn] = sess
 	s.mu.Unlock()
 	s.peerHandler(sess.Peer())
+	if s.pool != nil {
+		sess.closeWhenSilent(s.pool.timing.KeepAliveInterval + s.pool.timing.WriteTimeout)
+		s.pool.adopt(sess)
+	}
+	s.serveStreams(ctx, sess)
+}
+
+// serveDialed serves the streams that the peer opens on a session that the pool dialed,
+// until the session or the server ends.
+func (s *Server) serveDialed(sess *Session) {
+	defer sess.Close()
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
+	s.dialed[sess] = true
+	s.wg.Add(1)
+	s.mu.Unlock()
+	defer s.wg.Done()
+	defer func() {
+		s.mu.Lock()
+		delete(s.dialed, sess)
+		s.mu.Unlock()
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.serveStreams(ctx, sess)
+}
+
+// serveStreams serves the streams of a session until it ends.
+func (s *Server) serveStreams(ctx context.Context, sess *Session) {
 	for {
 		c, err := sess.mux.AcceptStream()
 		if err != nil {
--- a/internal/wire/link/session.go
+++ b/internal/wire/link/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,7 @@
 // use.
 type Session struct {
 	mux    *yamux.Session
+	conn   *coalescingConn
 	peer   Peer
 	offset *ClockOffset
 	// acceptedStreams is the number of open streams that the peer opened.
@@ -107,9 +109,34 @@
 		st.Close()
 		return
 	}
+	st.releasedAt = time.Now()
 	s.idleStreams[st.kind] = append(s.idleStreams[st.kind], st)
 }
 
+// closeIdleStreams closes the streams that were released before t. Each idle stream
+// takes memory at both ends.
+func (s *Session) closeIdleStreams(t time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, idle := range s.idleStreams {
+		// The longest idle ones are first.
+		n := 0
+		for n < len(idle) && idle[n].releasedAt.Before(t) {
+			idle[n].Close()
+			n++
+		}
+		s.idleStreams[k] = slices.Delete(idle, 0, n)
+	}
+}
+
+// closeWhenSilent closes the session when the peer, which sends keep-alive probes, sends
+// nothing for d.
+func (s *Session) closeWhenSilent(d clock.Milli) {
+	s.conn.maxSilence.Store(int64(d.Duration()))
+	// The read in progress has no deadline.
+	_ = s.conn.SetReadDeadline(time.Now().Add(d.Duration()))
+}
+
 // Closed reports whether the session has ended, at either side.
 func (s *Session) Closed() bool {
 	return s.mux.IsClosed()
@@ -151,12 +178,13 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrClosed, err.Error())
 	}
-	mux, err := yamux.Client(&coalescingConn{Conn: conn}, muxConfig(t))
+	merged := &coalescingConn{Conn: conn}
+	mux, err := yamux.Client(merged, muxConfig(t))
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(ErrHandshake, err.Error())
 	}
-	s := &Session{mux: mux, offset: NewClockOffset()}
+	s := &Session{mux: mux, conn: merged, offset: NewClockOffset()}
 	if err := s.clientHandshake(ctx, self, clk); err != nil {
 		s.Close()
 		return nil, err
@@ -197,12 +225,13 @@
 func acceptSession(conn net.Conn, self Identity, clk clock.Clock) (*Session, error) {
 	timer := time.AfterFunc(handshakeTimeout.Duration(), func() { _ = conn.Close() })
 	defer timer.Stop()
-	mux, err := yamux.Server(&coalescingConn{Conn: conn}, muxConfig(defaultTiming))
+	merged := &coalescingConn{Conn: conn}
+	mux, err := yamux.Server(merged, muxConfig(defaultTiming))
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(ErrHandshake, err.Error())
 	}
-	s := &Session{mux: mux, offset: NewClockOffset()}
+	s := &Session{mux: mux, conn: merged, offset: NewClockOffset()}
 	if err := s.serverHandshake(self, clk); err != nil {
 		s.Close()
 		return nil, err
--- a/internal/wire/link/stream.go
+++ b/internal/wire/link/stream.go
@@ -48,6 +48,8 @@
 	reader  *bufio.Reader
 	session *Session
 	kind    streamKind
+	// releasedAt is when the stream was last returned to its session.
+	releasedAt time.Time
 }
 
 func newStream(conn net.Conn, s *Session) *Stream {
