--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -170,11 +170,11 @@
 func (n *Node) buildServices() {
 	p := n.platform
 	n.orderFollower = feed.NewFollower(n.store, p.Topics().Directives, n.registry, n.log, feed.WithIdleStart(),
-		feed.WithReadWait(func() clock.Milli { return n.watch.readWait() }), feed.WithReadHook(func() { n.watch.ordersRead() }))
+		feed.WithReadWait(func() clock.Milli { return n.watch.readWait() }), feed.WithReadHook(func() { n.watch.view.recordRead(0) }))
 	n.watch = newStoreWatch(n)
 	n.sync = &stateSync{
 		clock: n.clock, log: n.log, pool: n.pool, table: n.table, registry: n.registry, moves: n.moves,
-		watch: n.watch, ownRecord: n.announcer.ownRecord,
+		view: n.watch.view, ownRecord: n.announcer.ownRecord,
 	}
 	n.watch.notify = n.sync.syncWithEach
 	n.announcer.onChange = func() { go (&recordPush{sync: n.sync}).run() }
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -39,7 +39,7 @@
 	table     *peers.Table
 	registry  *order.Registry
 	moves     *moveTracker
-	watch     *storeWatch
+	view      *storeView
 	ownRecord func() peers.Record
 	// pulling is set while a synchronisation that a peer's newer orders caused runs.
 	pulling atomic.Bool
@@ -61,7 +61,7 @@
 
 // interval returns the time until the next synchronisation.
 func (s *stateSync) interval() clock.Milli {
-	if s.watch.age(s.clock.Now()) < storeSilentAfter {
+	if s.view.age() < storeSilentAfter {
 		return syncInterval
 	}
 	return offlineSyncInterval
@@ -97,7 +97,7 @@
 	now := s.clock.Now()
 	req := &wire.ShareRequest{
 		Member: self.ID, OrdersEnd: s.registry.NextOffset(), PeersHash: s.table.Hash(), Moves: s.moves.encode(now),
-		Self: self.Encode(), Store: s.watch.view(),
+		Self: self.Encode(), Store: s.view.encode(),
 	}
 	payload, err := proto.Marshal(req)
 	if err != nil {
@@ -116,7 +116,7 @@
 		s.log.Warn().Str("peer", id).Err(err).Msg("share_malformed")
 		return
 	}
-	s.watch.observe(id, reply.GetStore())
+	s.view.observe(id, reply.GetStore())
 	s.applyReply(reply)
 }
 
@@ -145,13 +145,13 @@
 		return nil, err
 	}
 	s.table.Merge(peers.Decode(req.GetSelf()))
-	s.watch.observe(req.GetMember(), req.GetStore())
+	s.view.observe(req.GetMember(), req.GetStore())
 	if req.GetOrdersEnd() > s.registry.NextOffset() && s.pulling.CompareAndSwap(false, true) {
 		go (&orderPull{sync: s, id: req.GetMember()}).run()
 	}
 	now := s.clock.Now()
 	s.moves.merge(now, req.GetMoves())
-	reply := &wire.ShareReply{OrdersEnd: s.registry.NextOffset(), Moves: s.moves.encode(now), Store: s.watch.view()}
+	reply := &wire.ShareReply{OrdersEnd: s.registry.NextOffset(), Moves: s.moves.encode(now), Store: s.view.encode()}
 	if req.GetPeersHash() != s.table.Hash() {
 		for _, r := range s.table.Records() {
 			reply.Peers = append(reply.Peers, r.Encode())
--- a/internal/node/mesh/storewatch_test.go
+++ b/internal/node/mesh/storeview_test.go
@@ -29,18 +29,18 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			clk := clock.NewManual(started)
-			s := &storeWatch{clock: clk, startedAt: started, lostAt: make(map[string]clock.Milli)}
+			s := newStoreView("self", clk)
 			for _, v := range tt.observe {
 				s.observe("peer", v)
 			}
 			clk.Advance(tt.wait)
-			v := s.view()
+			v := s.encode()
 			g.Expect(v.GetRead()).To(Equal(tt.read))
 			if tt.read {
 				g.Expect(v.GetAgeMs()).To(BeNumerically("==", tt.age))
 			}
 			// Without a read, the start of this daemon begins the age.
-			g.Expect(s.age(clk.Now())).To(Equal(min(tt.age, tt.wait)))
+			g.Expect(s.age()).To(Equal(min(tt.age, tt.wait)))
 		})
 	}
 }
@@ -50,17 +50,12 @@
 func TestStoreLossExpires(t *testing.T) {
 	g := NewWithT(t)
 	clk := clock.NewManual(1000 * clock.Second)
-	s := &storeWatch{clock: clk, lostAt: make(map[string]clock.Milli)}
-	isLost := func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		return s.isLostLocked("peer", clk.Now())
-	}
+	s := newStoreView("self", clk)
 	s.observe("peer", &wire.StoreView{Lost: true})
-	g.Expect(isLost()).To(BeTrue())
+	g.Expect(s.isLost("peer")).To(BeTrue())
 	clk.Advance(lossTTL)
-	g.Expect(isLost()).To(BeFalse())
+	g.Expect(s.isLost("peer")).To(BeFalse())
 	s.observe("peer", &wire.StoreView{Lost: true})
 	s.observe("peer", &wire.StoreView{})
-	g.Expect(isLost()).To(BeFalse())
+	g.Expect(s.isLost("peer")).To(BeFalse())
 }
--- a/internal/node/mesh/storewatch.go
+++ b/internal/node/mesh/storewatch.go
@@ -15,7 +15,6 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/watch"
-	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
 
 const (
@@ -36,8 +35,6 @@
 	restartWatchDelay = 800 * clock.Millisecond
 	// restoreWindow is how long after the start every daemon reads stored statuses.
 	restoreWindow = 5 * clock.Second
-	// lossTTL is how long a daemon counts as unable to reach the store after a report.
-	lossTTL = 5 * clock.Second
 	// catchUpLimit is how long a follower may lack records that peers have. Its read
 	// has then lost its reply.
 	catchUpLimit = clock.Second
@@ -50,8 +47,8 @@
 	discoverRetryDelay = 1500 * clock.Millisecond
 )
 
-// storeWatch decides whether this daemon follows the store, and tracks what it and its
-// peers know of the store.
+// storeWatch makes this daemon follow the store if it is a watcher, and passes on new
+// orders.
 type storeWatch struct {
 	clock         clock.Clock
 	log           zerolog.Logger
@@ -61,12 +58,12 @@
 	orderFollower *feed.Follower
 	peerFollower  *feed.Follower
 	announcer     *announcer
+	view          *storeView
 	// notify synchronises with peers, which compare the offset of the orders.
 	notify func(ctx context.Context, ids []string)
 	// changed receives a value after the orders changed.
 	changed chan struct{}
 
-	startedAt      clock.Milli
 	startAt        clock.Milli
 	poll           watch.Poll
 	discovered     atomic.Bool
@@ -74,13 +71,7 @@
 	// behindSince is since when the follower has lacked records that peers have.
 	behindSince clock.Milli
 
-	mu sync.Mutex
-	// confirmedAt is the time of the last successful read of any daemon, zero if none is
-	// known.
-	confirmedAt clock.Milli
-	// lostAt has the peers whose last call to the store failed, with the time of the
-	// latest such report. That of this daemon is set while it watches.
-	lostAt   map[string]clock.Milli
+	mu       sync.Mutex
 	duties   watch.Duties
 	watching bool
 }
@@ -94,7 +85,7 @@
 	return &storeWatch{
 		clock: n.clock, log: n.log, self: n.announcer.ownRecord(), table: n.table, registry: n.registry,
 		orderFollower: n.orderFollower, peerFollower: n.peerFollower, announcer: n.announcer,
-		startAt: now + delay, startedAt: now, lostAt: make(map[string]clock.Milli), changed: make(chan struct{}, 1),
+		view: newStoreView(n.self.ID, n.clock), startAt: now + delay, changed: make(chan struct{}, 1),
 		notify: func(context.Context, []string) {},
 	}
 }
@@ -164,8 +155,8 @@
 func (s *storeWatch) update() {
 	now := s.clock.Now()
 	linked := s.table.Linked()
-	s.recordOwnLoss(now)
-	age := s.age(now)
+	s.view.recordOwn(s.orderFollower.Failing() || s.peerFollower.Failing(), s.isWatching())
+	age := s.view.age()
 	duties := watch.Select(s.daemons(linked), age)
 	watching := slices.Contains(duties.Watchers, s.self.ID) || len(linked) <= 1
 	s.mu.Lock()
@@ -185,37 +176,14 @@
 
 // daemons returns what the selection needs of the linked daemons.
 func (s *storeWatch) daemons(linked []peers.Record) []watch.Daemon {
-	now := s.clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	out := make([]watch.Daemon, 0, len(linked))
 	for i := range linked {
 		r := &linked[i]
-		out = append(out, watch.Daemon{ID: r.ID, Centre: r.Centre, StoreLost: s.isLostLocked(r.ID, now)})
+		out = append(out, watch.Daemon{ID: r.ID, Centre: r.Centre, StoreLost: s.view.isLost(r.ID)})
 	}
 	return out
 }
 
-// recordOwnLoss records whether this daemon's last call to the store failed. One that no
-// longer calls the store may reach it again, so its loss expires.
-func (s *storeWatch) recordOwnLoss(now clock.Milli) {
-	failing := s.orderFollower.Failing() || s.peerFollower.Failing()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch {
-	case !failing:
-		delete(s.lostAt, s.self.ID)
-	case s.watching:
-		s.lostAt[s.self.ID] = now
-	}
-}
-
-// isLostLocked reports whether a daemon lost the store. The caller holds the lock.
-func (s *storeWatch) isLostLocked(id string, now clock.Milli) bool {
-	at, ok := s.lostAt[id]
-	return ok && now-at < lossTTL
-}
-
 // restartIfBehind repeats the read of a follower that lacks records that peers have.
 func (s *storeWatch) restartIfBehind() {
 	now := s.clock.Now()
@@ -251,55 +219,6 @@
 	return orderReadInterval * clock.Milli(float64(n)*jitter)
 }
 
-// ordersRead records a successful read of the orders by this daemon.
-func (s *storeWatch) ordersRead() {
-	s.observeAge(0)
-}
-
-func (s *storeWatch) observeAge(age clock.Milli) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.confirmedAt = max(s.confirmedAt, s.clock.Now()-age)
-}
-
-// age returns the time since the last successful read by any known daemon, or since the
-// start if none is known.
-func (s *storeWatch) age(now clock.Milli) clock.Milli {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now - max(s.confirmedAt, s.startedAt)
-}
-
-// view returns what this daemon knows of the store, for a peer. The start of this daemon
-// says nothing about the store, so the age is missing until a read is known.
-func (s *storeWatch) view() *wire.StoreView {
-	now := s.clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	v := &wire.StoreView{Lost: s.isLostLocked(s.self.ID, now)}
-	if s.confirmedAt > 0 {
-		v.Read, v.AgeMs = true, float64(now-s.confirmedAt)
-	}
-	return v
-}
-
-// observe records what a peer knows of the store.
-func (s *storeWatch) observe(id string, v *wire.StoreView) {
-	if v == nil || id == "" {
-		return
-	}
-	if v.GetRead() {
-		s.observeAge(max(0, clock.Milli(v.GetAgeMs())))
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if v.GetLost() {
-		s.lostAt[id] = s.clock.Now()
-	} else {
-		delete(s.lostAt, id)
-	}
-}
-
 // notifyPeers notifies peers of new orders if this daemon is a watcher or a relay: those of
 // its own data centre, and the relays of the others, which notify theirs.
 func (s *storeWatch) notifyPeers(ctx context.Context) {
