--- a/internal/base/clock/wait_test.go
+++ b/internal/base/clock/wait_test.go
@@ -23,9 +23,9 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
+			start := time.Now()
 			ctx, cancel := context.WithTimeout(context.Background(), tt.timeout.Duration())
 			defer cancel()
-			start := time.Now()
 			g.Expect(clock.Sleep(ctx, tt.wait)).To(Equal(tt.completed))
 			g.Expect(time.Since(start)).To(And(BeNumerically(">=", 20*time.Millisecond), BeNumerically("<", 5*time.Second)))
 		})
