mesh: let peers read configurations from the store that do not fit a message

Cause: orders travel between daemons in one frame of at most 256 KiB. A larger configuration could not be sent, and the daemons that do not follow the store never got it. Before there were watchers, every daemon read it itself.

A peer now gets the end of the orders only, and reads them from the store once. TestLargeConfiguration failed before (404 at daemons that are no watchers).

--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -174,7 +174,7 @@
 	n.watch = newStoreWatch(n)
 	n.sync = &stateSync{
 		clock: n.clock, log: n.log, pool: n.pool, table: n.table, registry: n.registry, moves: n.moves,
-		view: n.watch.view, ownRecord: n.announcer.ownRecord,
+		view: n.watch.view, ownRecord: n.announcer.ownRecord, pollOrders: n.orderFollower.Poll,
 	}
 	n.watch.notify = n.sync.syncWithEach
 	n.announcer.onChange = func() { go (&recordPush{sync: n.sync}).run() }
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -24,6 +24,9 @@
 	// storeSilentAfter is the age of the last successful read of the orders, by any known
 	// daemon, from which the store counts as unavailable.
 	storeSilentAfter = 6 * clock.Second
+	// maxSharedOrderBytes is the size of the largest set of orders that is sent to a peer.
+	// A larger one may not fit a frame, so the peer reads it from the store.
+	maxSharedOrderBytes = link.MaxFrameBytes / 2
 	// farSyncShare is the share of synchronisations with other data centres.
 	farSyncShare = 0.25
 	// syncTimeout limits one synchronisation.
@@ -41,6 +44,8 @@
 	moves     *moveTracker
 	view      *storeView
 	ownRecord func() peers.Record
+	// pollOrders makes this daemon read the orders from the store once.
+	pollOrders func()
 	// pulling is set while a synchronisation that a peer's newer orders caused runs.
 	pulling atomic.Bool
 }
@@ -132,6 +137,10 @@
 		s.log.Info().Int64("end", r.GetOrdersEnd()).Int64("own_end", s.registry.NextOffset()).Msg("orders_from_peer")
 		s.registry.Replace(records, r.GetOrdersEnd())
 	}
+	if !r.GetOrdersWhole() && r.GetOrdersEnd() > s.registry.NextOffset() {
+		s.log.Info().Int64("end", r.GetOrdersEnd()).Int64("own_end", s.registry.NextOffset()).Msg("orders_too_large_for_peer")
+		s.pollOrders()
+	}
 	s.moves.merge(s.clock.Now(), r.GetMoves())
 	for _, p := range r.GetPeers() {
 		s.table.Merge(peers.Decode(p))
@@ -163,14 +172,21 @@
 	return proto.Marshal(reply)
 }
 
+// addOrders adds all orders to a reply, or only their end if they are too large.
 func (s *stateSync) addOrders(reply *wire.ShareReply) {
 	records, end := s.registry.Records()
-	reply.OrdersWhole, reply.OrdersEnd = true, end
+	reply.OrdersEnd = end
+	size := 0
+	orders := make([]*wire.OrderRecord, 0, len(records))
 	for _, r := range records {
 		if r.Removed {
 			continue
 		}
-		reply.Orders = append(reply.Orders, &wire.OrderRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+		size += len(r.Key) + len(r.Value)
+		orders = append(orders, &wire.OrderRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+	if size <= maxSharedOrderBytes {
+		reply.OrdersWhole, reply.Orders = true, orders
 	}
 }
 
