mesh: report a lost store to the next watcher at once

Cause: that a watcher lost the store reached the others with random synchronisations, one a second, so the next one of a data centre of 23 took over after 10 s in the mean.

A daemon now notifies its data centre and the relays when it loses or regains the store, and a loss lasts 10 s instead of 5, so that the duty returns less often to a daemon that is still cut off. TestStoreLossIsReported.

--- a/internal/node/mesh/storeview.go
+++ b/internal/node/mesh/storeview.go
@@ -8,7 +8,7 @@
 )
 
 // lossTTL is how long a daemon counts as unable to reach the store after a report.
-const lossTTL = 5 * clock.Second
+const lossTTL = 10 * clock.Second
 
 // storeView is what this daemon and its peers know of the store. It is safe for
 // concurrent use.
@@ -30,17 +30,20 @@
 	return &storeView{self: self, clock: clk, startedAt: clk.Now(), lostAt: make(map[string]clock.Milli)}
 }
 
-// recordOwn records whether this daemon's last call to the store failed. One that no
-// longer calls the store may reach it again, so its loss expires.
-func (v *storeView) recordOwn(failing, watching bool) {
+// recordOwn records whether this daemon's last call to the store failed, and reports
+// whether peers have to be notified. A daemon that no longer calls the store may reach it
+// again, so its loss expires.
+func (v *storeView) recordOwn(failing, watching bool) (changed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	wasLost := v.isLostLocked(v.self)
 	switch {
 	case !failing:
 		delete(v.lostAt, v.self)
 	case watching:
 		v.lostAt[v.self] = v.clock.Now()
 	}
+	return v.isLostLocked(v.self) != wasLost
 }
 
 // isLost reports whether a daemon lost the store.
--- a/internal/node/mesh/storeview_test.go
+++ b/internal/node/mesh/storeview_test.go
@@ -59,3 +59,20 @@
 	s.observe("peer", &wire.StoreView{})
 	g.Expect(s.isLost("peer")).To(BeFalse())
 }
+
+// Guards against a duty that does not pass on because the next daemon hears of the loss
+// only from a random synchronisation some seconds later.
+func TestStoreLossIsReported(t *testing.T) {
+	g := NewWithT(t)
+	clk := clock.NewManual(1000 * clock.Second)
+	v := newStoreView("self", clk)
+	steps := []struct {
+		failing, watching, changed bool
+	}{
+		{false, true, false}, {true, true, true}, {true, false, false}, {true, true, false}, {false, true, true}, {true, false, false},
+	}
+	for i, s := range steps {
+		clk.Advance(200)
+		g.Expect(v.recordOwn(s.failing, s.watching)).To(Equal(s.changed), "step %d", i)
+	}
+}
--- a/internal/node/mesh/storewatch.go
+++ b/internal/node/mesh/storewatch.go
@@ -107,7 +107,7 @@
 		case <-t.C:
 			s.discover()
 			if s.clock.Now() >= s.startAt {
-				s.update()
+				s.update(ctx)
 				s.restartIfBehind()
 			}
 		}
@@ -152,10 +152,13 @@
 }
 
 // update selects the watchers and makes the followers follow or idle.
-func (s *storeWatch) update() {
+func (s *storeWatch) update(ctx context.Context) {
 	now := s.clock.Now()
 	linked := s.table.Linked()
-	s.view.recordOwn(s.orderFollower.Failing() || s.peerFollower.Failing(), s.isWatching())
+	if s.view.recordOwn(s.orderFollower.Failing() || s.peerFollower.Failing(), s.isWatching()) {
+		// The next watcher takes over as soon as it has this report.
+		s.notify(ctx, s.idsToNotify())
+	}
 	age := s.view.age()
 	duties := watch.Select(s.daemons(linked), age)
 	watching := slices.Contains(duties.Watchers, s.self.ID) || len(linked) <= 1
@@ -228,11 +231,19 @@
 	if !watching && !slices.Contains(relays, s.self.ID) {
 		return
 	}
+	s.notify(ctx, s.idsToNotify())
+}
+
+// idsToNotify returns the daemons of the own data centre and the relays of the others.
+func (s *storeWatch) idsToNotify() []string {
+	s.mu.Lock()
+	relays := s.duties.Relays
+	s.mu.Unlock()
 	var ids []string
 	for _, r := range s.table.Linked() {
 		if r.ID != s.self.ID && (r.Centre == s.self.Centre || slices.Contains(relays, r.ID)) {
 			ids = append(ids, r.ID)
 		}
 	}
-	s.notify(ctx, ids)
+	return ids
 }
