--- a/internal/fleet/member/antientropy.go
+++ b/internal/fleet/member/antientropy.go
@@ -4,8 +4,8 @@
 
 // startAntiEntropy compares the table with that of a random local member, or of
 // any member if there is no local one, and on relays also with that of a remote
-// relay. It also pings one dead member, so
-// that two halves of a data centre that declared each other dead merge again.
+// relay. It also pings one dead member, so that two halves of a data centre that
+// declared each other dead merge again.
 func (c *Core) startAntiEntropy(now clock.Milli) {
 	c.refreshRelays()
 	if local := c.randomLocalPeers(1, ""); len(local) > 0 {
