guard, mesh: log what upstreams state about the calls that they accept

An upstream may name the rate of calls that it accepts, or that it is about to stop, in each response. Nothing read either header, so neither logs nor metrics showed them. No decision uses them yet.

--- a/internal/fleet/health/tracker.go
+++ b/internal/fleet/health/tracker.go
@@ -34,6 +34,9 @@
 	Healthy       bool
 	ColdRemaining clock.Milli
 	Load          *call.LoadReport
+	// Notice is what the upstream states about the calls that it accepts. The receiver
+	// sets RequestedAt.
+	Notice call.Notice
 }
 
 // UpstreamState is the recorded state of the upstream. Instance is empty as long
--- a/internal/node/mesh/health.go
+++ b/internal/node/mesh/health.go
@@ -125,9 +125,11 @@
 func (h *healthChecker) check(ctx context.Context, path string) {
 	ctx, cancel := context.WithTimeout(ctx, healthTimeout.Duration())
 	defer cancel()
+	requestedAt := h.clock.Now()
 	result, err := h.platform.CheckHealth(ctx, h.addr, path)
 	switch {
 	case err == nil:
+		result.Notice.RequestedAt = requestedAt
 		h.upstream.handleCheckResult(result)
 	case isConnRefused(err):
 		h.upstream.update(func(_ clock.Milli, t *health.Tracker) { t.HandleConnectFailure() })
@@ -149,6 +151,21 @@
 			u.dispatcher.ObserveLoad(now, *result.Load)
 		}
 	})
+	u.handleNotice(result.Notice)
+}
+
+// notice returns the latest notice of the upstream.
+func (u *upstream) notice() call.Notice {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.lastNotice
+}
+
+// handleNotice records what the upstream states about the calls that it accepts.
+func (u *upstream) handleNotice(notice call.Notice) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.logNotice(notice)
 }
 
 func isConnRefused(err error) bool {
--- a/internal/node/mesh/metrics.go
+++ b/internal/node/mesh/metrics.go
@@ -51,6 +51,8 @@
 	n.meter.AddGauge("peers_linked", func() float64 { return float64(len(n.table.LinkedIDs())) })
 	n.meter.AddGauge("upstream_usable", func() float64 { return gaugeValue(n.upstream.unusableReason() == call.ReasonNone) })
 	n.meter.AddGauge("upstream_pace_age_seconds", func() float64 { return float64(n.upstream.slowdownAge() / clock.Second) })
+	n.meter.AddGauge("upstream_limited", func() float64 { return gaugeValue(n.upstream.notice().Limited) })
+	n.meter.AddGauge("upstream_limit_per_second", func() float64 { return n.upstream.notice().RateLimit })
 	n.meter.AddGauge("guard_calls_in_progress", func() float64 { return float64(n.guard.InProgress()) })
 }
 
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -138,7 +138,7 @@
 	}
 	n.guard = guard.New(n.self, s.UpstreamAddr, n.clock,
 		guard.WithLogger(n.log), guard.WithAdmitter(n.upstream), guard.WithAdmissionCheck(n.checkAdmission),
-		guard.WithProtocol(p.UpstreamProtocol(n.upstream.instance, n.upstream.handleMisdirected)),
+		guard.WithNoticeHandler(n.upstream.handleNotice), guard.WithProtocol(p.UpstreamProtocol(n.upstream.instance, n.upstream.handleMisdirected)),
 		guard.WithPreAdmissionHook(n.refreshSlowdown), guard.WithIdleTimeout(upstreamIdleTimeout), guard.WithRequestErrorHandler(n.handleRequestError),
 		guard.WithSampleHandler(n.recordUpstream), guard.WithRefusalHandler(n.recordRefusal))
 	n.entry = entry.New(n.self, n.clock, n.pool, n.table, &rules{registry: n.registry, moves: n.moves},
--- a/internal/node/mesh/upstream.go
+++ b/internal/node/mesh/upstream.go
@@ -36,6 +36,8 @@
 	dispatcher *queue.Dispatcher
 	// lastState is the state that the dispatcher was last updated with.
 	lastState health.UpstreamState
+	// lastNotice is the latest notice of an instance.
+	lastNotice call.Notice
 	// slowVMQueued triggers a health check when calls are queued because the VM is slow.
 	slowVMQueued chan struct{}
 	// onChange is called without the lock after a change that peers need.
@@ -93,6 +95,18 @@
 	return s != old
 }
 
+// logNotice logs a notice that differs from the last one. The caller holds the lock.
+func (u *upstream) logNotice(notice call.Notice) {
+	last := u.lastNotice
+	u.lastNotice = notice
+	last.RequestedAt = notice.RequestedAt
+	if last == notice || notice.Instance == "" {
+		return
+	}
+	u.log.Info().Str("upstream", notice.Instance).Bool("limited", notice.Limited).Float64("calls_per_s", notice.RateLimit).
+		Bool("leaving", notice.Leaving).Float64("age_ms", float64(u.clock.Now()-notice.RequestedAt)).Msg("upstream_notice")
+}
+
 // unusableReason returns why the upstream may not get calls, or call.ReasonNone.
 func (u *upstream) unusableReason() call.Reason {
 	s := u.state()
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -89,6 +89,10 @@
 	x.result.Failed = resp.StatusCode >= http.StatusInternalServerError
 	x.result.NewConnection = !x.trace.reused.Load()
 	x.result.Epoch, x.result.Load = info.Epoch, info.Load
+	if info.InvalidReason == "" && info.Notice.Instance != "" {
+		info.Notice.RequestedAt = x.dispatchedAt
+		x.stream.guard.onNotice(info.Notice)
+	}
 	return info
 }
 
--- a/internal/path/guard/guard.go
+++ b/internal/path/guard/guard.go
@@ -51,6 +51,7 @@
 	onRequestError func(err error)
 	onRefusal      func(r call.Reason)
 	preAdmission   func(ctx context.Context, r *call.Request)
+	onNotice       func(call.Notice)
 
 	mu               sync.Mutex
 	probeBudget      *probe.UpstreamBudget
@@ -100,6 +101,12 @@
 	return func(g *Guard) { g.preAdmission = f }
 }
 
+// WithNoticeHandler sets the function that receives the notice of each valid response
+// whose instance is known.
+func WithNoticeHandler(f func(call.Notice)) Option {
+	return func(g *Guard) { g.onNotice = f }
+}
+
 // WithIdleTimeout sets how long an idle connection to the upstream is kept. It must
 // be shorter than the upstream's own idle timeout.
 func WithIdleTimeout(d clock.Milli) Option {
@@ -148,6 +155,7 @@
 		onRequestError:   func(error) {},
 		onRefusal:        func(call.Reason) {},
 		preAdmission:     func(context.Context, *call.Request) {},
+		onNotice:         func(call.Notice) {},
 		probeBudget:      probe.NewUpstreamBudget(probe.UpstreamProbesPerWindow),
 		admitter:         admit.New(self.Slots),
 		ledger:           ledger.New(),
--- a/internal/path/guard/protocol.go
+++ b/internal/path/guard/protocol.go
@@ -20,6 +20,9 @@
 	Epoch uint64
 	// Load is the load that the upstream reports, nil if it reports none.
 	Load *call.LoadReport
+	// Notice is what the upstream states about the calls that it accepts. The guard
+	// sets RequestedAt.
+	Notice call.Notice
 }
 
 // Protocol defines the HTTP interface between the guard and its upstream.
