queue: apply the rate limit that an upstream states

Cause: no part of the system read the limit. A guard admitted calls by slots, slowdown and the cold rate only. Ruled out: a share of the limit for each entry, which would be wrong while entries come and go, is not needed, because each call passes the guard of its upstream, which knows the limit from responses and health checks.

The guard now admits calls with a token bucket at the stated rate. A call that the limit can't admit in time is refused at once, also when a lower limit is stated or calls of higher priority arrive; the refusal has the time at which the limit admits one more, with the returns of refused callers spaced. Entries add the wait for the limit to a target's cost.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -30,6 +30,9 @@
 	ID     call.ID
 	Admit  bool
 	Reason call.Reason
+	// RetryIn is the time after which the caller of a refused call should retry, zero if
+	// it is not known.
+	RetryIn clock.Milli
 }
 
 // Result is the result of an admitted call at the upstream.
--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -68,6 +68,10 @@
 	// Slowdown is the ratio of the current service time on the upstream's VM to
 	// the baseline; zero means that the upstream does not report it.
 	Slowdown float64
+	// AdmitDelay is the time until the upstream's stated rate limit admits another call.
+	// CallInterval is the mean time between calls that it admits, zero without a limit.
+	AdmitDelay   clock.Milli
+	CallInterval clock.Milli
 	// ReceivedAt is when the state was received, on the clock of the receiver.
 	ReceivedAt clock.Milli
 }
@@ -104,4 +108,7 @@
 	Latency clock.Milli
 	// State is the upstream state that came with the response, nil if none did.
 	State *UpstreamState
+	// RetryIn is the time after which the target accepts another call, as it said in a
+	// refusal; zero if it did not.
+	RetryIn clock.Milli
 }
--- a/internal/core/call/enums.go
+++ b/internal/core/call/enums.go
@@ -97,4 +97,5 @@
 	ReasonSlowVM                       // slow_vm
 	ReasonHeaderTooLarge               // header_too_large
 	ReasonBodyTooLarge                 // body_too_large
+	ReasonRateLimit                    // rate_limit
 )
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -209,7 +209,7 @@
 	if load+1 > busyThreshold*limit {
 		factor *= busySlowdown
 	}
-	cost := p.meanServiceTime * clock.Milli(factor)
+	cost := p.meanServiceTime*clock.Milli(factor) + t.admitDelay(now)
 	if excess := load + 1 - limit; excess > 0 {
 		cost += p.meanServiceTime * clock.Milli(factor*excess/limit)
 	}
@@ -227,6 +227,16 @@
 	return cost
 }
 
+// admitDelay returns the time until the target's stated rate limit admits another call.
+// The calls that this entry has sent since the last report come first.
+func (t *target) admitDelay(now clock.Milli) clock.Milli {
+	if !t.hasState || t.state.CallInterval == 0 {
+		return 0
+	}
+	sent := max(0, t.inFlight-t.inFlightAtState)
+	return max(0, t.state.AdmitDelay+clock.Milli(sent)*t.state.CallInterval-(now-t.state.ReceivedAt))
+}
+
 // latencyRatio returns the ratio of a target's latency to the baseline, without
 // the slowdown of its VM. Ratios up to slowLatencyRatio are noise and count as 1.
 func (p *Picker) latencyRatio(t *target) float64 {
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -54,6 +54,17 @@
 			p.Observe(now, newState("near", 6, 1))
 			p.Observe(now, newState("far", 1, 1))
 		}, call.Interactive, nil, map[string]float64{"far": 1}, nil},
+		"rate limit used up": {func(p *place.Picker) {
+			state := newState("near", 0, 1)
+			state.AdmitDelay, state.CallInterval = 400, 500
+			p.Observe(now, state)
+		}, call.Interactive, nil, map[string]float64{"far": 1}, nil},
+		"rate limit used up by this entry": {func(p *place.Picker) {
+			state := newState("near", 0, 1)
+			state.CallInterval = 500
+			p.Observe(now, state)
+			p.RecordStart(now, "near")
+		}, call.Interactive, nil, map[string]float64{"far": 1}, nil},
 		"fails": {func(p *place.Picker) {
 			for range 4 {
 				p.RecordStart(now, "near")
--- a/internal/core/queue/coldlimiter.go
+++ b/internal/core/queue/coldlimiter.go
@@ -8,46 +8,40 @@
 
 // coldLimiter is a token bucket that limits the rate of calls to a cold upstream.
 type coldLimiter struct {
-	until clock.Milli
-	// rate is in calls per second.
-	rate         float64
-	storedTokens float64
-	updatedAt    clock.Milli
+	until  clock.Milli
+	bucket tokenBucket
 }
 
 // setRate limits the calls per second until an instant. A rate of zero removes the
 // limit.
 func (l *coldLimiter) setRate(now, until clock.Milli, perSecond float64) {
 	if !l.isActive(now) {
-		l.storedTokens, l.updatedAt = coldBurst, now
+		l.bucket.fill(now, coldBurst)
 	}
-	l.until, l.rate = until, perSecond
+	l.until, l.bucket.rate, l.bucket.burst = until, perSecond, coldBurst
 }
 
 func (l *coldLimiter) isActive(now clock.Milli) bool {
-	return l.rate > 0 && now < l.until
-}
-
-func (l *coldLimiter) availableTokens(now clock.Milli) float64 {
-	return min(coldBurst, l.storedTokens+l.rate*float64((now-l.updatedAt)/clock.Second))
+	return l.bucket.rate > 0 && now < l.until
 }
 
 // hasToken reports whether the limiter lets a call start. An inactive limiter always
 // does.
 func (l *coldLimiter) hasToken(now clock.Milli) bool {
-	return !l.isActive(now) || l.availableTokens(now) >= 1
+	return !l.isActive(now) || l.bucket.availableTokens(now) >= 1
 }
 
 func (l *coldLimiter) takeToken(now clock.Milli) {
-	if !l.isActive(now) {
-		return
+	if l.isActive(now) {
+		l.bucket.takeToken(now)
 	}
-	l.storedTokens, l.updatedAt = l.availableTokens(now)-1, now
 }
 
 // waitTime returns the time until a call with the given number of calls ahead of it
 // has a token.
 func (l *coldLimiter) waitTime(now clock.Milli, ahead int) clock.Milli {
-	missing := float64(ahead+1) - l.availableTokens(now)
-	return max(0, clock.Milli(missing/l.rate)*clock.Second)
+	if !l.isActive(now) {
+		return 0
+	}
+	return l.bucket.waitTime(now, ahead)
 }
--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -1,6 +1,7 @@
 // Package queue orders the calls that wait for one upstream by priority and
-// dispatches them within the slots of the upstream and, while it is cold, within its
-// rate limit. It is meant for a load close to or above the capacity of the upstream.
+// dispatches them within the slots of the upstream, the rate limit that it states, and its
+// rate limit while it is cold. It is meant for a load close to or above the capacity of the
+// upstream.
 package queue
 
 import (
@@ -56,11 +57,15 @@
 // Dispatcher holds the queued and running calls of one upstream. It is not safe for
 // concurrent use.
 type Dispatcher struct {
-	slots      int
-	coldLimit  coldLimiter
-	inProgress map[call.ID]runningCall
-	queue      []queuedCall
-	seq        uint64
+	slots     int
+	coldLimit coldLimiter
+	// statedLimit applies the upstream's own rate limit, returns spaces the callers that
+	// it refuses.
+	statedLimit statedLimiter
+	returns     returnSchedule
+	inProgress  map[call.ID]runningCall
+	queue       []queuedCall
+	seq         uint64
 	// serviceTimes and meanServiceTime are the mean service times by route and of all
 	// calls, without slowdown of the VM.
 	serviceTimes    map[string]clock.Milli
@@ -104,6 +109,16 @@
 	}
 }
 
+// ObserveNotice applies the rate limit that the upstream states, or ends it.
+func (d *Dispatcher) ObserveNotice(now clock.Milli, notice call.Notice) {
+	d.statedLimit.observe(now, notice)
+}
+
+// RemoveStatedLimit removes the rate limit of an instance that was replaced.
+func (d *Dispatcher) RemoveStatedLimit() {
+	d.statedLimit, d.returns = statedLimiter{}, returnSchedule{}
+}
+
 // Drain makes Offer refuse all further calls. Queued calls are still served.
 func (d *Dispatcher) Drain() {
 	d.draining = true
@@ -122,14 +137,15 @@
 	if len(d.queue) == 0 && d.canStart(now, req) {
 		return append(decisions, d.admit(now, req))
 	}
-	if reason := d.refusalReason(now); reason != call.ReasonNone && !req.MayQueue {
-		return append(decisions, admit.Decision{ID: req.ID, Reason: reason})
+	if !req.MayQueue {
+		reason := d.refusalReason(now)
+		return append(decisions, admit.Decision{ID: req.ID, Reason: reason, RetryIn: d.rateLimitWait(now, reason)})
 	}
 	d.seq++
 	queued := queuedCall{request: req, seq: d.seq, latestStart: d.latestStart(now, req)}
 	position := d.queuePosition(queued)
 	if reason := d.lateStartReason(now, position, queued); reason != call.ReasonNone {
-		return append(decisions, admit.Decision{ID: req.ID, Reason: reason})
+		return append(decisions, d.refuseLate(now, req, reason))
 	}
 	d.queue = slices.Insert(d.queue, position, queued)
 	if len(d.queue) > maxQueuedPerSlot*d.slots {
@@ -210,17 +226,19 @@
 // Incarnation.
 func (d *Dispatcher) UpstreamState(now clock.Milli) call.UpstreamState {
 	state := call.UpstreamState{
-		InProgress: len(d.inProgress),
-		Queued:     len(d.queue),
-		Limit:      d.maxInProgress(),
-		Slots:      d.slots,
-		Latency:    d.meanServiceTime,
-		Cold:       d.coldLimit.isActive(now),
-		Slowdown:   d.currentSlowdown(now),
-		Leaving:    d.draining,
+		InProgress:   len(d.inProgress),
+		Queued:       len(d.queue),
+		Limit:        d.maxInProgress(),
+		Slots:        d.slots,
+		Latency:      d.meanServiceTime,
+		Cold:         d.coldLimit.isActive(now),
+		Slowdown:     d.currentSlowdown(now),
+		Leaving:      d.draining,
+		AdmitDelay:   min(maxCallInterval, d.statedLimit.waitTime(now, len(d.queue))),
+		CallInterval: d.statedLimit.callInterval(),
 	}
 	if state.Cold {
-		state.Limit = max(1, min(d.maxInProgress(), int(d.coldLimit.availableTokens(now))))
+		state.Limit = max(1, min(d.maxInProgress(), int(d.coldLimit.bucket.availableTokens(now))))
 	}
 	return state
 }
@@ -239,6 +257,7 @@
 	_, running := d.inProgress[req.ID]
 	assert.That(!running, assert.AtMostOnce, "id %s admitted while it runs", req.ID)
 	d.coldLimit.takeToken(now)
+	d.statedLimit.takeToken(now)
 	d.inProgress[req.ID] = runningCall{route: req.Route, slowdown: d.currentSlowdown(now)}
 	return admit.Decision{ID: req.ID, Admit: true}
 }
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -14,6 +14,8 @@
 	switch {
 	case d.coldLimit.isActive(now) && !d.coldLimit.hasToken(now):
 		return call.ReasonCold
+	case !d.statedLimit.hasToken(now):
+		return call.ReasonRateLimit
 	case d.isVMSlow(now):
 		return call.ReasonSlowVM
 	default:
@@ -71,6 +73,9 @@
 		}
 		return call.ReasonNone
 	}
+	if now+d.statedLimit.waitTime(now, ahead) > queued.latestStart {
+		return call.ReasonRateLimit
+	}
 	if len(d.inProgress) < d.maxInProgress() && ahead == 0 {
 		return call.ReasonNone
 	}
@@ -81,6 +86,30 @@
 	return call.ReasonNone
 }
 
+// refuseLate refuses a call that is not expected to start in time.
+func (d *Dispatcher) refuseLate(now clock.Milli, req admit.Request, reason call.Reason) admit.Decision {
+	decision := admit.Decision{ID: req.ID, Reason: reason}
+	if reason == call.ReasonRateLimit {
+		wait := d.rateLimitWait(now, reason)
+		decision.RetryIn = d.returns.schedule(now, wait, d.statedLimit.callInterval(), req.Deadline)
+	}
+	return decision
+}
+
+// rateLimitWait returns the time until the stated rate limit admits one more call, zero for
+// a refusal for another reason.
+func (d *Dispatcher) rateLimitWait(now clock.Milli, reason call.Reason) clock.Milli {
+	if reason != call.ReasonRateLimit {
+		return 0
+	}
+	return min(maxCallInterval, d.statedLimit.waitTime(now, len(d.queue)))
+}
+
+// hasTokens reports whether the rate limits let a call start.
+func (d *Dispatcher) hasTokens(now clock.Milli) bool {
+	return d.coldLimit.hasToken(now) && d.statedLimit.hasToken(now)
+}
+
 // currentSlowdown returns the last reported slowdown, and 1 if there is no recent one.
 func (d *Dispatcher) currentSlowdown(now clock.Milli) float64 {
 	if d.slowdown == 0 || now-d.slowdownAt > slowdownTTL {
@@ -92,7 +121,7 @@
 // canStart reports whether a call may start now. On a slow VM, only a short call that
 // has no other target may.
 func (d *Dispatcher) canStart(now clock.Milli, req admit.Request) bool {
-	if len(d.inProgress) >= d.maxInProgress() || !d.coldLimit.hasToken(now) {
+	if len(d.inProgress) >= d.maxInProgress() || !d.hasTokens(now) {
 		return false
 	}
 	if !d.isVMSlow(now) {
@@ -115,12 +144,12 @@
 // start now and still be answered by its deadline. It requires that less than half of
 // maxInProgress is in use.
 func (d *Dispatcher) canAnswerOnSlowVM(now clock.Milli, queued queuedCall) bool {
-	return d.isVMSlow(now) && 2*len(d.inProgress) < d.maxInProgress() && d.coldLimit.hasToken(now) &&
+	return d.isVMSlow(now) && 2*len(d.inProgress) < d.maxInProgress() && d.hasTokens(now) &&
 		now+clock.Milli(d.currentSlowdown(now))*d.baselineServiceTime(queued.request.Route) < queued.request.Deadline
 }
 
-// expireQueued refuses the queued calls that can no longer start in time, and admits
-// those that have waited for a faster VM but can still be answered by the slow one.
+// expireQueued refuses the queued calls that can no longer start in time, also because a
+// lower rate limit was stated or calls of higher priority have arrived, and admits those that have waited for a faster VM but can still be answered by the slow one.
 func (d *Dispatcher) expireQueued(now clock.Milli, decisions []admit.Decision) []admit.Decision {
 	kept := d.queue[:0]
 	for _, queued := range d.queue {
@@ -129,8 +158,10 @@
 			decisions = append(decisions, admit.Decision{ID: queued.request.ID, Reason: call.ReasonDeadline})
 		case now >= queued.latestStart && d.canAnswerOnSlowVM(now, queued):
 			decisions = append(decisions, d.admit(now, queued.request))
-		case now >= queued.latestStart:
+		case now >= queued.latestStart && d.statedLimit.hasToken(now):
 			decisions = append(decisions, admit.Decision{ID: queued.request.ID, Reason: call.ReasonQueueTimeout})
+		case now+d.statedLimit.waitTime(now, len(kept)) > queued.latestStart:
+			decisions = append(decisions, d.refuseLate(now, queued.request, call.ReasonRateLimit))
 		default:
 			kept = append(kept, queued)
 		}
--- a/internal/node/mesh/health.go
+++ b/internal/node/mesh/health.go
@@ -165,6 +165,10 @@
 func (u *upstream) handleNotice(notice call.Notice) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if !u.concernsInstance(notice) {
+		return
+	}
+	u.dispatcher.ObserveNotice(u.clock.Now(), notice)
 	u.logNotice(notice)
 }
 
--- a/internal/node/mesh/upstream.go
+++ b/internal/node/mesh/upstream.go
@@ -36,8 +36,9 @@
 	dispatcher *queue.Dispatcher
 	// lastState is the state that the dispatcher was last updated with.
 	lastState health.UpstreamState
-	// lastNotice is the latest notice of an instance.
-	lastNotice call.Notice
+	// instanceSince is when the instance became known. lastNotice is its latest notice.
+	instanceSince clock.Milli
+	lastNotice    call.Notice
 	// slowVMQueued triggers a health check when calls are queued because the VM is slow.
 	slowVMQueued chan struct{}
 	// onChange is called without the lock after a change that peers need.
@@ -81,6 +82,10 @@
 	if s.Instance != u.lastState.Instance || s.StartedAt != u.lastState.StartedAt || s.Slots != u.lastState.Slots {
 		u.dispatcher.Reset(s.Slots)
 	}
+	if s.Instance != u.lastState.Instance || s.StartedAt != u.lastState.StartedAt {
+		u.instanceSince, u.lastNotice = now, call.Notice{}
+		u.dispatcher.RemoveStatedLimit()
+	}
 	rate := u.service().ColdRatePerSecond * u.coldRateFactor
 	u.dispatcher.LimitColdRate(now, s.ColdUntil, rate)
 	old := u.lastState
@@ -95,12 +100,18 @@
 	return s != old
 }
 
+// concernsInstance reports whether a notice is of the current start of the instance. An
+// earlier start may have had the same id. The caller holds the lock.
+func (u *upstream) concernsInstance(notice call.Notice) bool {
+	return notice.Instance != "" && notice.Instance == u.lastState.Instance && notice.RequestedAt >= u.instanceSince
+}
+
 // logNotice logs a notice that differs from the last one. The caller holds the lock.
 func (u *upstream) logNotice(notice call.Notice) {
 	last := u.lastNotice
 	u.lastNotice = notice
 	last.RequestedAt = notice.RequestedAt
-	if last == notice || notice.Instance == "" {
+	if last == notice {
 		return
 	}
 	u.log.Info().Str("upstream", notice.Instance).Bool("limited", notice.Limited).Float64("calls_per_s", notice.RateLimit).
--- a/internal/path/entry/attempt.go
+++ b/internal/path/entry/attempt.go
@@ -169,6 +169,7 @@
 	a.reusable = a.runner.body.fitsInline(a.runner.entry.maxInlineBytes)
 	res := a.failureResult(call.Outcome(r.GetOutcome()), call.Reason(r.GetReason()))
 	res.State = link.DecodeUpstreamState(r.GetView(), a.runner.entry.clock.Now())
+	res.RetryIn = clock.Milli(r.GetRetryIn())
 	return res
 }
 
--- a/internal/path/entry/call_runner.go
+++ b/internal/path/entry/call_runner.go
@@ -40,6 +40,9 @@
 	// attempt.
 	retriesExhausted bool
 	lastResult       call.Result
+	// retryAt is the earliest time at which a target that refused the call accepts another
+	// one, zero if none said.
+	retryAt clock.Milli
 	// restrictionReason is the reason that TargetRules.Allow returned with its
 	// last filter.
 	restrictionReason call.Reason
@@ -110,9 +113,18 @@
 		a.close()
 	}
 	r.lastResult = res
+	r.recordRetryIn(now, res)
 	return res, decision, false
 }
 
+// recordRetryIn records when a target that refused the call accepts another one, if that is
+// earlier than what others said.
+func (r *callRunner) recordRetryIn(now clock.Milli, res call.Result) {
+	if at := now + res.RetryIn; res.RetryIn > 0 && (r.retryAt == 0 || at < r.retryAt) {
+		r.retryAt = at
+	}
+}
+
 // allowQueueing permits the guards to queue the call, if the last attempt ended
 // with a temporary refusal. It reports whether it did so.
 func (r *callRunner) allowQueueing() bool {
@@ -126,7 +138,7 @@
 // isTemporaryRefusal reports whether a target that refused a call for this
 // reason may accept it later.
 func isTemporaryRefusal(r call.Reason) bool {
-	return r == call.ReasonBusy || r == call.ReasonSlowVM || r == call.ReasonCold
+	return r == call.ReasonBusy || r == call.ReasonSlowVM || r == call.ReasonCold || r == call.ReasonRateLimit
 }
 
 // hasUntriedTarget reports whether the call can be sent to a target that was not
@@ -229,6 +241,7 @@
 		Attempts:         r.attempts,
 		RetriesExhausted: r.attempts > 1 || r.retriesExhausted,
 		Latency:          now - r.startedAt,
+		RetryIn:          max(0, r.retryAt-now),
 	}
 }
 
--- a/internal/path/entry/entry.go
+++ b/internal/path/entry/entry.go
@@ -53,6 +53,9 @@
 	// ruled out any further attempt. The caller should not retry it then.
 	RetriesExhausted bool
 	Latency          clock.Milli
+	// RetryIn is the time after which a target that refused the call accepts another one,
+	// zero if none said.
+	RetryIn clock.Milli
 	// RetryAfter is the suggested delay before the caller sends the request
 	// again. It is set for calls without a response.
 	RetryAfter clock.Milli
--- a/internal/path/entry/retry_after.go
+++ b/internal/path/entry/retry_after.go
@@ -25,6 +25,9 @@
 	switch summary.Reason {
 	case call.ReasonNoTarget, call.ReasonNoConfig, call.ReasonCold:
 		after = noTargetRetryAfter
+	case call.ReasonRateLimit:
+		// The guards have spaced the returns of callers.
+		return summary.RetryIn + busyRetryAfter*clock.Milli(rand.Float64())
 	default:
 	}
 	return after * clock.Milli(1+retryAfterJitterFraction*rand.Float64())
--- a/internal/path/guard/admission.go
+++ b/internal/path/guard/admission.go
@@ -54,12 +54,12 @@
 // awaitAdmission offers the call to the admitter and waits while it is queued. It
 // returns ReasonNone if the call is admitted. Duplicates are not offered, because
 // the admitter identifies calls by their id.
-func (g *Guard) awaitAdmission(ctx context.Context, r *call.Request) call.Reason {
+func (g *Guard) awaitAdmission(ctx context.Context, r *call.Request) refusal {
 	ch := make(chan admit.Decision, 1)
 	g.mu.Lock()
 	if _, dup := g.activeIDs[r.ID]; dup || !r.Repeatable && g.ledger.WasDispatched(r.ID) {
 		g.mu.Unlock()
-		return call.ReasonDuplicate
+		return refusal{reason: call.ReasonDuplicate}
 	}
 	g.activeIDs[r.ID] = struct{}{}
 	g.pendingDecisions[r.ID] = ch
@@ -80,23 +80,23 @@
 		delete(g.activeIDs, r.ID)
 		g.deliver(g.admitter.Cancel(g.clock.Now(), r.ID))
 		g.mu.Unlock()
-		return contextEndReason(ctx)
+		return refusal{reason: contextEndReason(ctx)}
 	}
 	g.mu.Unlock()
 	// The decision was made before the cancellation took effect, so it applies.
 	return g.handleDecision(<-ch)
 }
 
-// handleDecision returns the reason of a refusal, or ReasonNone for an admitted
-// call. It removes a refused call from the active ones.
-func (g *Guard) handleDecision(d admit.Decision) call.Reason {
+// handleDecision returns the refusal of a call, with ReasonNone for an admitted one. It
+// removes a refused call from the active ones.
+func (g *Guard) handleDecision(d admit.Decision) refusal {
 	if d.Admit {
-		return call.ReasonNone
+		return refusal{}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.activeIDs, d.ID)
-	return d.Reason
+	return refusal{reason: d.Reason, retryIn: d.RetryIn}
 }
 
 // contextEndReason returns the reason for the end of a call's context.
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -42,7 +42,7 @@
 		return false
 	}
 	if reason := g.tryDispatch(x.request); reason != call.ReasonNone {
-		return x.stream.refuse(x.callStart, refusalOutcome(reason), reason, "")
+		return x.stream.refuse(x.callStart, refusal{outcome: refusalOutcome(reason), reason: reason})
 	}
 	x.dispatchedAt = g.clock.Now()
 	g.log.Info().Str("request", x.request.ID.String()).Str("label", x.request.ClientRequestID).
@@ -50,7 +50,7 @@
 		Msg("call_handed_over")
 	req, err := g.upstream.newRequest(ctx, g.protocol, &x.trace, x.callStart, body, x.request, x.dispatchedAt)
 	if err != nil {
-		return x.stream.refuse(x.callStart, call.OutcomeNotRun, call.ReasonBadRequest, err.Error())
+		return x.stream.refuse(x.callStart, refusal{outcome: call.OutcomeNotRun, reason: call.ReasonBadRequest, detail: err.Error()})
 	}
 	if x.body != nil {
 		req.Trailer = x.body.trailer
@@ -101,7 +101,7 @@
 func (x *exchange) refuseResponse(info ResponseInfo) bool {
 	if info.NotRun {
 		x.result.NotRun, x.result.Failed = true, false
-		return x.stream.refuse(x.callStart, call.OutcomeNotRun, call.ReasonShed, "") && x.bodyReceived()
+		return x.stream.refuse(x.callStart, refusal{outcome: call.OutcomeNotRun, reason: call.ReasonShed}) && x.bodyReceived()
 	}
 	x.trace.closeConn()
 	return x.refuseUnusableResponse(call.ReasonInvalidAnswer, info.InvalidReason)
@@ -112,7 +112,7 @@
 func (x *exchange) refuseUnusableResponse(reason call.Reason, detail string) bool {
 	x.result.Failed = true
 	x.stream.guard.recordSample(Sample{Request: x.request, Failed: true, Latency: x.result.Latency})
-	return x.stream.refuse(x.callStart, call.OutcomeUnknown, reason, detail) && x.bodyReceived()
+	return x.stream.refuse(x.callStart, refusal{reason: reason, detail: detail}) && x.bodyReceived()
 }
 
 // handleRequestError refuses a call whose request failed without a response. The
@@ -134,7 +134,7 @@
 		g.onRequestError(err)
 		g.recordSample(Sample{Request: x.request, Failed: true, Latency: x.result.Latency})
 	}
-	return x.stream.refuse(x.callStart, out, reason, err.Error()) && x.bodyReceived()
+	return x.stream.refuse(x.callStart, refusal{outcome: out, reason: reason, detail: err.Error()}) && x.bodyReceived()
 }
 
 // bodyReceived reports whether all frames of the request body were received.
--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -81,20 +81,21 @@
 	offset.Observe(now, clock.Milli(c.GetSentAt()))
 	r, reason := g.parseCallStart(c, offset)
 	if reason != call.ReasonNone {
-		return s.refuse(c, call.OutcomeNotRun, reason, "")
+		return s.refuse(c, refusal{outcome: call.OutcomeNotRun, reason: reason})
 	}
 	if !g.beginCall() {
-		return s.refuse(c, call.OutcomeNotRun, call.ReasonLeaving, "")
+		return s.refuse(c, refusal{outcome: call.OutcomeNotRun, reason: call.ReasonLeaving})
 	}
 	defer g.endCall()
 	if reason = g.admissionCheck(now, r); reason != call.ReasonNone {
-		return s.refuse(c, call.OutcomeNotRun, reason, "")
+		return s.refuse(c, refusal{outcome: call.OutcomeNotRun, reason: reason})
 	}
 	ctx, cancel := context.WithTimeout(ctx, (r.Deadline - now).Duration())
 	defer cancel()
 	g.preAdmission(ctx, r)
-	if reason = g.awaitAdmission(ctx, r); reason != call.ReasonNone {
-		return s.refuse(c, refusalOutcome(reason), reason, "")
+	if refused := g.awaitAdmission(ctx, r); refused.reason != call.ReasonNone {
+		refused.outcome = refusalOutcome(refused.reason)
+		return s.refuse(c, refused)
 	}
 	x := &exchange{stream: s, callStart: c, request: r, receivedAt: now}
 	return x.run(ctx)
@@ -140,19 +141,32 @@
 	return r, call.ReasonNone
 }
 
+// refusal says why a call gets no response of the upstream. Its outcome is unknown unless
+// the call was certainly not run.
+type refusal struct {
+	outcome call.Outcome
+	reason  call.Reason
+	detail  string
+	// retryIn is the time after which the guard accepts another call, zero if it is not
+	// known.
+	retryIn clock.Milli
+}
+
 // refuse logs and sends a refusal. It reports whether the stream can be used for
 // another call.
-func (s *stream) refuse(c *wire.CallStart, out call.Outcome, reason call.Reason, detail string) bool {
+func (s *stream) refuse(c *wire.CallStart, r refusal) bool {
 	s.guard.log.Info().Hex("request", c.GetId()).Str("label", c.GetLabel()).Str("service", c.GetService()).
-		Str("outcome", out.String()).Str("reason", reason.String()).Str("detail", detail).Msg("call_refused")
-	s.guard.onRefusal(reason)
+		Str("outcome", r.outcome.String()).Str("reason", r.reason.String()).Str("detail", r.detail).
+		Float64("retry_in_ms", float64(r.retryIn)).Msg("call_refused")
+	s.guard.onRefusal(r.reason)
 	state := s.guard.UpstreamState()
 	err := s.link.Send(&wire.Frame{Body: &wire.Frame_Refused{Refused: &wire.Refused{
 		Id:      c.GetId(),
-		Outcome: uint32(out),
-		Reason:  uint32(reason),
-		Detail:  detail,
+		Outcome: uint32(r.outcome),
+		Reason:  uint32(r.reason),
+		Detail:  r.detail,
 		View:    link.EncodeUpstreamState(state),
+		RetryIn: float64(r.retryIn),
 	}}})
 	return err == nil && c.GetBodyComplete()
 }
--- a/internal/wire/link/upstreamstate.go
+++ b/internal/wire/link/upstreamstate.go
@@ -10,17 +10,19 @@
 // not sent.
 func EncodeUpstreamState(state call.UpstreamState) *wire.View {
 	return &wire.View{
-		Target:      state.Target,
-		Incarnation: state.Incarnation,
-		Epoch:       state.Epoch,
-		InProgress:  uint32(state.InProgress),
-		Queued:      uint32(state.Queued),
-		Limit:       uint32(state.Limit),
-		Slots:       uint32(state.Slots),
-		Latency:     float64(state.Latency),
-		Cold:        state.Cold,
-		Leaving:     state.Leaving,
-		Pace:        state.Slowdown,
+		Target:       state.Target,
+		Incarnation:  state.Incarnation,
+		Epoch:        state.Epoch,
+		InProgress:   uint32(state.InProgress),
+		Queued:       uint32(state.Queued),
+		Limit:        uint32(state.Limit),
+		Slots:        uint32(state.Slots),
+		Latency:      float64(state.Latency),
+		Cold:         state.Cold,
+		Leaving:      state.Leaving,
+		Pace:         state.Slowdown,
+		AdmitDelay:   float64(state.AdmitDelay),
+		CallInterval: float64(state.CallInterval),
 	}
 }
 
@@ -31,17 +33,19 @@
 		return nil
 	}
 	return &call.UpstreamState{
-		Target:      v.GetTarget(),
-		Incarnation: v.GetIncarnation(),
-		Epoch:       v.GetEpoch(),
-		InProgress:  int(v.GetInProgress()),
-		Queued:      int(v.GetQueued()),
-		Limit:       int(v.GetLimit()),
-		Slots:       int(v.GetSlots()),
-		Latency:     clock.Milli(v.GetLatency()),
-		Cold:        v.GetCold(),
-		Leaving:     v.GetLeaving(),
-		Slowdown:    v.GetPace(),
-		ReceivedAt:  now,
+		Target:       v.GetTarget(),
+		Incarnation:  v.GetIncarnation(),
+		Epoch:        v.GetEpoch(),
+		InProgress:   int(v.GetInProgress()),
+		Queued:       int(v.GetQueued()),
+		Limit:        int(v.GetLimit()),
+		Slots:        int(v.GetSlots()),
+		Latency:      clock.Milli(v.GetLatency()),
+		Cold:         v.GetCold(),
+		Leaving:      v.GetLeaving(),
+		Slowdown:     v.GetPace(),
+		AdmitDelay:   clock.Milli(v.GetAdmitDelay()),
+		CallInterval: clock.Milli(v.GetCallInterval()),
+		ReceivedAt:   now,
 	}
 }
