mesh: mark an upstream as leaving when a response says so

An upstream that leaves may say so only in its responses. Nothing read that header, so it got calls until it drained, deregistered or was gone. The class is the one of the stated rate limit: a signal of the upstream that is not decoded.

The guard marks the instance before it forwards the response, and announces it like a drain. The upstream owns this state: a restarted daemon admits no call until the instance has answered a health check, for 0.5 s at most, so a delayed heartbeat that says ready does not let a call through. A response that was requested before the current start became known is ignored, as an instance may start again under its id.

--- a/internal/fleet/health/tracker.go
+++ b/internal/fleet/health/tracker.go
@@ -46,8 +46,8 @@
 	StartedAt clock.Milli
 	Version   string
 	Slots     int
-	// Leaving is set once the instance drains or deregisters, and is never reset
-	// for that instance.
+	// Leaving is set once the instance drains, deregisters or states that it is
+	// leaving, and is never reset for that instance.
 	Leaving bool
 	// Down is set after a failed connection, a response from another instance or
 	// a restore, until a heartbeat or a successful health check.
@@ -193,6 +193,11 @@
 	}
 }
 
+// HandleLeaving records that the current instance states that it is leaving.
+func (t *Tracker) HandleLeaving() {
+	t.current.Leaving = true
+}
+
 // HandleConnectFailure records that a connection to the upstream failed.
 func (t *Tracker) HandleConnectFailure() {
 	t.current.Down = true
--- a/internal/node/mesh/health.go
+++ b/internal/node/mesh/health.go
@@ -64,7 +64,7 @@
 			t.Stop()
 			return ctx.Err()
 		case <-t.C:
-		case <-h.upstream.slowVMQueued:
+		case <-h.upstream.checkRequested:
 			t.Stop()
 		}
 	}
@@ -151,6 +151,11 @@
 			u.dispatcher.ObserveLoad(now, *result.Load)
 		}
 	})
+	if result.Notice.Instance == "" {
+		// A failed check may lack the id. Only the current instance has the address, or
+		// one that replaces it.
+		result.Notice.Instance = u.instance()
+	}
 	u.handleNotice(result.Notice)
 }
 
@@ -163,13 +168,16 @@
 
 // handleNotice records what the upstream states about the calls that it accepts.
 func (u *upstream) handleNotice(notice call.Notice) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if !u.concernsInstance(notice) {
-		return
-	}
-	u.dispatcher.ObserveNotice(u.clock.Now(), notice)
-	u.logNotice(notice)
+	u.update(func(now clock.Milli, t *health.Tracker) {
+		if !u.concernsInstance(notice) {
+			return
+		}
+		u.dispatcher.ObserveNotice(now, notice)
+		u.logNotice(notice)
+		if notice.Leaving {
+			t.HandleLeaving()
+		}
+	})
 }
 
 func isConnRefused(err error) bool {
--- a/internal/node/mesh/upstream.go
+++ b/internal/node/mesh/upstream.go
@@ -19,6 +19,9 @@
 	// coldOverageMargin is subtracted from the tolerated multiple of a cold upstream's
 	// stated rate.
 	coldOverageMargin = 0.1
+	// noticeTimeout limits how long an instance gets no calls because it has not responded
+	// to a health check yet.
+	noticeTimeout = 500 * clock.Millisecond
 )
 
 // upstream combines the state from heartbeats and health checks with the calls that
@@ -39,8 +42,9 @@
 	// instanceSince is when the instance became known. lastNotice is its latest notice.
 	instanceSince clock.Milli
 	lastNotice    call.Notice
-	// slowVMQueued triggers a health check when calls are queued because the VM is slow.
-	slowVMQueued chan struct{}
+	// checkRequested triggers a health check, for example when calls are queued because the
+	// VM is slow.
+	checkRequested chan struct{}
 	// onChange is called without the lock after a change that peers need.
 	onChange func()
 }
@@ -51,7 +55,7 @@
 		service:        func() route.Service { return route.Service{} },
 		coldRateFactor: 1,
 		tracker:        health.New(), dispatcher: queue.New(initialSlots), onChange: func() {},
-		slowVMQueued: make(chan struct{}, 1),
+		checkRequested: make(chan struct{}, 1),
 	}
 }
 
@@ -85,6 +89,7 @@
 	if s.Instance != u.lastState.Instance || s.StartedAt != u.lastState.StartedAt {
 		u.instanceSince, u.lastNotice = now, call.Notice{}
 		u.dispatcher.RemoveStatedLimit()
+		u.requestCheck()
 	}
 	rate := u.service().ColdRatePerSecond * u.coldRateFactor
 	u.dispatcher.LimitColdRate(now, s.ColdUntil, rate)
@@ -124,13 +129,21 @@
 	switch {
 	case s.Leaving:
 		return call.ReasonLeaving
-	case !s.Usable():
+	case !s.Usable() || u.awaitsNotice():
 		return call.ReasonNotReady
 	default:
 		return call.ReasonNone
 	}
 }
 
+// awaitsNotice reports whether the instance has not responded since it became known, so that
+// it may be leaving or have a rate limit. An earlier daemon may have had this state.
+func (u *upstream) awaitsNotice() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.lastNotice.Instance == "" && u.service().HealthPath != "" && u.clock.Now()-u.instanceSince < noticeTimeout
+}
+
 // instance returns the id of the instance that calls are meant for.
 func (u *upstream) instance() string {
 	return u.state().Instance
@@ -154,14 +167,18 @@
 	defer u.mu.Unlock()
 	decisions := u.dispatcher.Offer(now, request)
 	if u.dispatcher.DelayedBySlowVM(now) {
-		select {
-		case u.slowVMQueued <- struct{}{}:
-		default:
-		}
+		u.requestCheck()
 	}
 	return decisions
 }
 
+func (u *upstream) requestCheck() {
+	select {
+	case u.checkRequested <- struct{}{}:
+	default:
+	}
+}
+
 // Finish implements guard.Admitter.
 func (u *upstream) Finish(now clock.Milli, id call.ID, r admit.Result) []admit.Decision {
 	u.mu.Lock()
