--- a/internal/conf/order/order.go
+++ b/internal/conf/order/order.go
@@ -4,6 +4,7 @@
 package order
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"sync"
@@ -130,6 +131,7 @@
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	if end < reg.nextOffset {
+		reg.log.Info().Int64("end", end).Int64("known_end", reg.nextOffset).Msg("orders_stale")
 		return
 	}
 	changed := false
@@ -154,6 +156,9 @@
 func (reg *Registry) applyRecord(r feed.Item) bool {
 	old, exists := reg.records[r.Key]
 	if exists && r.Offset <= old.Offset {
+		if !bytes.Equal(r.Value, old.Value) {
+			reg.log.Info().Str("key", r.Key).Int64("offset", r.Offset).Int64("known_offset", old.Offset).Msg("order_stale")
+		}
 		return false
 	}
 	if r.Removed {
