feed, order: order records by the era of the store

Cause: offsets were taken as unique for all time. A restored store gives them out again, so a full read that ended before the known offset was ignored as a stale response, and a new record at an offset up to the known one as an old record. The class is an identity that is only valid within an incarnation of its issuer. The same cause elsewhere: the identity of a version move (its offset), the comparison of directives between daemons, a daemon's own record and the final status of a move, which stay lost.

A Position now has the era and the offset. A read at a position of an earlier era fails with ErrRestored, and all keys are read again. A record with the content of one of an earlier era continues its version move. Daemons compare a hash of their directives, so one that starts on the copy gets what others have in force. Each daemon writes its own record again, and final statuses are written again in turn.

--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
@@ -29,27 +30,29 @@
 	// may accept calls that it never answers, even after it has recovered. A
 	// waiting read sent in that state would detect neither fault nor recovery.
 	immediateReadTimeout = 800 * clock.Millisecond
+	// rereadMargin is added to RestoreSettleTime, so that the sink has settled too.
+	rereadMargin = 100 * clock.Millisecond
 )
 
 // Sink receives the items of a topic from a Follower, one call at a time.
 type Sink interface {
-	// Replace receives the newest item of every key. The offset end follows the
+	// Replace receives the newest item of every key. The position end follows the
 	// last item.
-	Replace(items []Item, end int64)
-	// Apply receives the items after the previous call. The offset end follows
+	Replace(items []Item, end Position)
+	// Apply receives the items after the previous call. The position end follows
 	// the last item.
-	Apply(items []Item, end int64)
+	Apply(items []Item, end Position)
 }
 
 // Follower reads a topic continuously and passes its items to a sink.
 type Follower struct {
-	store       Store
-	topic       string
-	sink        Sink
-	log         zerolog.Logger
-	startOffset int64
-	batchDelay  clock.Milli
-	readWait    func() clock.Milli
+	store      Store
+	topic      string
+	sink       Sink
+	log        zerolog.Logger
+	start      Position
+	batchDelay clock.Milli
+	readWait   func() clock.Milli
 	// readImmediately makes reads return without waiting for records. It is set
 	// after a failed read and after one with records, and cleared by a read that
 	// returns none.
@@ -61,18 +64,22 @@
 	idle   atomic.Bool
 	polled atomic.Bool
 	wake   chan struct{}
-	// offset is where the next read starts.
-	offset atomic.Int64
-	onRead func()
+	// position is where the next read starts.
+	position atomic.Int64
+	// restored is set between the first sign of a restore and the next full read.
+	restored bool
+	// rereadAt is when all keys are read again after a restore, zero if never.
+	rereadAt time.Time
+	onRead   func()
 }
 
 // Option configures a Follower in NewFollower.
 type Option func(*Follower)
 
-// WithStartOffset sets the offset of the first read. The sink already holds all
+// WithStart sets the position of the first read. The sink already holds all
 // items before it.
-func WithStartOffset(offset int64) Option {
-	return func(f *Follower) { f.startOffset = offset }
+func WithStart(p Position) Option {
+	return func(f *Follower) { f.start = p }
 }
 
 // WithBatchDelay sets the pause after a read that returned records, 400 ms by
@@ -98,15 +105,15 @@
 	return func(f *Follower) { f.onRead = onRead }
 }
 
-// OffsetNone as the start offset makes a follower begin with the newest item of
+// PositionNone as the start makes a follower begin with the newest item of
 // every key.
-const OffsetNone = -1
+const PositionNone = -1
 
 // NewFollower returns a follower that begins with the newest item of every key,
-// unless WithStartOffset is given. It reads nothing until Serve is called.
+// unless WithStart is given. It reads nothing until Serve is called.
 func NewFollower(s Store, topic string, sink Sink, log zerolog.Logger, opts ...Option) *Follower {
 	f := &Follower{
-		store: s, topic: topic, sink: sink, log: log, startOffset: OffsetNone, batchDelay: defaultBatchDelay,
+		store: s, topic: topic, sink: sink, log: log, start: PositionNone, batchDelay: defaultBatchDelay,
 		readWait: func() clock.Milli { return maxReadWait }, restart: make(chan struct{}, 1),
 		wake: make(chan struct{}, 1), onRead: func() {},
 	}
@@ -151,9 +158,9 @@
 	f.wakeUp()
 }
 
-// Offset returns the offset of the next read.
-func (f *Follower) Offset() int64 {
-	return f.offset.Load()
+// Position returns the position of the next read.
+func (f *Follower) Position() Position {
+	return Position(f.position.Load())
 }
 
 func (f *Follower) wakeUp() {
@@ -194,14 +201,17 @@
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = minRetryDelay.Duration(), maxRetryDelay.Duration()
 	retry.RandomizationFactor = retryJitter
-	end := f.startOffset
+	end := f.start
 	for {
-		f.offset.Store(end)
+		f.position.Store(int64(end))
 		f.awaitWork(ctx)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		f.polled.Store(false)
+		if f.isRereadDue() {
+			f.rereadAt, end = time.Time{}, PositionNone
+		}
 		next, err := f.readOnce(ctx, end)
 		switch {
 		case err == nil:
@@ -209,8 +219,11 @@
 			retry.Reset()
 			end = next
 		case errors.Is(err, ErrGone):
-			f.log.Info().Str("topic", f.topic).Int64("from", end).Msg("store_records_gone")
-			end = OffsetNone
+			f.log.Info().Str("topic", f.topic).Stringer("from", end).Msg("store_records_gone")
+			end = PositionNone
+		case errors.Is(err, ErrRestored):
+			f.log.Warn().Str("topic", f.topic).Stringer("from", end).Msg("store_restored")
+			end, f.restored = PositionNone, true
 		case ctx.Err() != nil:
 		default:
 			f.readImmediately = true
@@ -221,16 +234,19 @@
 }
 
 // readOnce performs one read and passes its items to the sink. It returns the
-// offset of the next read.
-func (f *Follower) readOnce(ctx context.Context, from int64) (int64, error) {
+// position of the next read.
+func (f *Follower) readOnce(ctx context.Context, from Position) (Position, error) {
 	if from < 0 {
 		b, err := f.store.Newest(ctx, f.topic)
 		if err != nil {
 			return from, err
 		}
-		f.sink.Replace(b.Items, b.NextOffset)
+		f.sink.Replace(b.Items, b.End)
 		f.onRead()
-		return b.NextOffset, nil
+		if f.restored {
+			f.restored, f.rereadAt = false, time.Now().Add((RestoreSettleTime + rereadMargin).Duration())
+		}
+		return b.End, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -240,26 +256,42 @@
 	if err != nil {
 		return from, err
 	}
-	f.sink.Apply(b.Items, b.NextOffset)
+	f.sink.Apply(b.Items, b.End)
 	f.onRead()
 	f.readImmediately = len(b.Items) > 0
 	if f.readImmediately && !f.idle.Load() {
 		clock.Sleep(ctx, f.batchDelay)
 	}
-	return b.NextOffset, nil
+	return b.End, nil
 }
 
-// readFrom reads from an offset. It waits for records, unless the store may have
+// readFrom reads from a position. It waits for records, unless the store may have
 // stopped answering since its last reply.
-func (f *Follower) readFrom(ctx context.Context, from int64) (Batch, error) {
+func (f *Follower) readFrom(ctx context.Context, from Position) (Batch, error) {
 	if !f.readImmediately {
-		return f.store.Read(ctx, f.topic, from, min(maxReadWait, f.readWait()))
+		return f.store.Read(ctx, f.topic, from, f.nextReadWait())
 	}
 	ctx, cancel := context.WithTimeout(ctx, immediateReadTimeout.Duration())
 	defer cancel()
 	return f.store.Read(ctx, f.topic, from, 0)
 }
 
+// isRereadDue reports whether all keys have to be read again. What operators write again
+// after a restore may be missing in the first full read, and then only a second one shows
+// which keys were removed meanwhile.
+func (f *Follower) isRereadDue() bool {
+	return !f.rereadAt.IsZero() && !time.Now().Before(f.rereadAt)
+}
+
+// nextReadWait returns how long the next read may wait for records.
+func (f *Follower) nextReadWait() clock.Milli {
+	wait := min(maxReadWait, f.readWait())
+	if !f.rereadAt.IsZero() {
+		wait = min(wait, max(0, clock.FromDuration(time.Until(f.rereadAt))))
+	}
+	return wait
+}
+
 // setOnline records whether the store is reachable and logs a change.
 func (f *Follower) setOnline(online bool, err error) {
 	f.failing.Store(!online)
--- a/internal/conf/feed/follow_test.go
+++ b/internal/conf/feed/follow_test.go
@@ -24,6 +24,7 @@
 	mu          sync.Mutex
 	items       []feed.Item
 	firstOffset int64
+	era         int64
 	down        bool
 	// hang makes Read wait although there are items to return.
 	hang bool
@@ -31,6 +32,7 @@
 	// the field is cleared.
 	unresponsive bool
 	reads        int
+	fullReads    int
 	appended     chan struct{}
 }
 
@@ -39,7 +41,7 @@
 func (s *fakeStore) add(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.items = append(s.items, feed.Item{Key: key, Value: []byte(value), Offset: int64(len(s.items))})
+	s.items = append(s.items, feed.Item{Key: key, Value: []byte(value), Position: feed.Position(len(s.items))})
 	close(s.appended)
 	s.appended = make(chan struct{})
 }
@@ -50,6 +52,15 @@
 	f(s)
 }
 
+// restore drops all items but the first n and begins an era.
+func (s *fakeStore) restore(n int) {
+	s.update(func(s *fakeStore) {
+		s.items, s.era = s.items[:n], s.era+1
+		close(s.appended)
+		s.appended = make(chan struct{})
+	})
+}
+
 // awaitCancel blocks until ctx is done if the store is unresponsive.
 func (s *fakeStore) awaitCancel(ctx context.Context) error {
 	s.mu.Lock()
@@ -69,6 +80,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
+	s.fullReads++
 	if s.down {
 		return feed.Batch{}, feed.ErrUnavailable
 	}
@@ -76,14 +88,14 @@
 	for _, i := range s.items {
 		newest[i.Key] = i
 	}
-	b := feed.Batch{NextOffset: int64(len(s.items))}
+	b := feed.Batch{End: feed.NewPosition(s.era, int64(len(s.items)))}
 	for _, i := range newest {
 		b.Items = append(b.Items, i)
 	}
 	return b, nil
 }
 
-func (s *fakeStore) Read(ctx context.Context, _ string, from int64, wait clock.Milli) (feed.Batch, error) {
+func (s *fakeStore) Read(ctx context.Context, _ string, from feed.Position, wait clock.Milli) (feed.Batch, error) {
 	if err := s.awaitCancel(ctx); err != nil {
 		return feed.Batch{}, err
 	}
@@ -96,11 +108,14 @@
 		case s.down:
 			s.mu.Unlock()
 			return feed.Batch{}, feed.ErrUnavailable
-		case from < s.firstOffset:
+		case from.Era() < s.era:
+			s.mu.Unlock()
+			return feed.Batch{}, feed.ErrRestored
+		case from.Offset() < s.firstOffset:
 			s.mu.Unlock()
 			return feed.Batch{}, feed.ErrGone
-		case !hang && from < int64(len(s.items)):
-			b := feed.Batch{Items: append([]feed.Item{}, s.items[from:]...), NextOffset: int64(len(s.items))}
+		case !hang && from.Offset() < int64(len(s.items)):
+			b := feed.Batch{Items: append([]feed.Item{}, s.items[from.Offset():]...), End: feed.NewPosition(s.era, int64(len(s.items)))}
 			s.mu.Unlock()
 			return b, nil
 		}
@@ -108,14 +123,16 @@
 		select {
 		case <-added:
 		case <-limit:
-			return feed.Batch{NextOffset: from}, nil
+			return feed.Batch{End: from}, nil
 		case <-ctx.Done():
 			return feed.Batch{}, ctx.Err()
 		}
 	}
 }
 
-func (s *fakeStore) Append(context.Context, string, feed.Item, int64) (int64, error) { return 0, nil }
+func (s *fakeStore) Append(context.Context, string, feed.Item, feed.Position) (feed.Position, error) {
+	return 0, nil
+}
 
 // sink records the newest value of each key.
 type sink struct {
@@ -123,9 +140,9 @@
 	values map[string]string
 }
 
-func (s *sink) Replace(items []feed.Item, end int64) { s.Apply(items, end) }
+func (s *sink) Replace(items []feed.Item, end feed.Position) { s.Apply(items, end) }
 
-func (s *sink) Apply(items []feed.Item, _ int64) {
+func (s *sink) Apply(items []feed.Item, _ feed.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, i := range items {
@@ -187,6 +204,21 @@
 			s.update(func(s *fakeStore) { s.hang = false })
 			f.Restart()
 		},
+		"store restored and the record is at an old offset": func(g Gomega, s *fakeStore, f *feed.Follower) {
+			s.add("x", "lost")
+			s.add("x", "lost too")
+			g.Eventually(f.Position, time.Second).Should(Equal(feed.Position(3)))
+			s.restore(1)
+			s.add("k", "new")
+		},
+		"store restored and more is written than was lost": func(g Gomega, s *fakeStore, f *feed.Follower) {
+			s.add("x", "lost")
+			g.Eventually(f.Position, time.Second).Should(Equal(feed.Position(2)))
+			s.restore(1)
+			s.add("k", "new")
+			s.add("x", "again")
+			s.add("y", "later")
+		},
 		"store unresponsive after a read with records": func(_ Gomega, s *fakeStore, _ *feed.Follower) {
 			s.add("x", "last reply")
 			time.Sleep(100 * time.Millisecond)
@@ -217,6 +249,26 @@
 	}
 }
 
+// Guards against a key that was removed between a restore and the first read after it, and
+// that the follower keeps.
+func TestKeysAreReadAgainAfterRestore(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeStore()
+	s.add("k", "old")
+	f, _ := startFollower(t, s)
+	g.Eventually(f.Position, time.Second).Should(Equal(feed.Position(1)))
+	s.restore(1)
+	g.Eventually(f.Position, maxRecovery).Should(Equal(feed.NewPosition(1, 1)))
+	fullReads := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.fullReads
+	}
+	before := fullReads()
+	g.Eventually(fullReads, feed.RestoreSettleTime.Duration()+time.Second).Should(Equal(before + 1))
+	g.Consistently(fullReads, 500*time.Millisecond).Should(Equal(before + 1))
+}
+
 // Guards against a waiting read whose reply is lost and that never times out.
 func TestWaitingReadIsLost(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/conf/order/order.go
+++ b/internal/conf/order/order.go
@@ -25,9 +25,12 @@
 	Version string
 	// MaxDuration limits the time from the directive to the end of the move.
 	MaxDuration clock.Milli
-	// Offset is that of the record. It distinguishes successive moves of the
+	// Position is that of the record. It distinguishes successive moves of the
 	// same service.
-	Offset int64
+	Position feed.Position
+	// Repeats is set if the record repeats the previous one of the service in a later
+	// era of the store.
+	Repeats bool
 	// ReceivedAt is when this daemon applied the record. A move in progress lowers
 	// it if a peer received the record earlier.
 	ReceivedAt clock.Milli
@@ -63,10 +66,14 @@
 	log    zerolog.Logger
 	active atomic.Pointer[ActiveSet]
 
-	mu          sync.Mutex
-	records     map[string]feed.Item
-	directives  map[string]Directive
-	nextOffset  int64
+	mu         sync.Mutex
+	records    map[string]feed.Item
+	directives map[string]Directive
+	end        feed.Position
+	// settledAt is when the operators have written again what the latest restore of the
+	// store lost.
+	settledAt   clock.Milli
+	hash        atomic.Uint64
 	subscribers []func(*ActiveSet)
 }
 
@@ -91,76 +98,103 @@
 	reg.subscribers = append(reg.subscribers, f)
 }
 
-// NextOffset returns the offset after the last record that was applied.
-func (reg *Registry) NextOffset() int64 {
+// End returns the position after the last record that was applied.
+func (reg *Registry) End() feed.Position {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	return reg.nextOffset
+	return reg.end
 }
 
-// Records returns the newest record of each key, sorted by key, and the offset
+// Hash returns a hash of the directives in force. Registries with the same directives have
+// the same hash.
+func (reg *Registry) Hash() uint64 {
+	return reg.hash.Load()
+}
+
+// Records returns the newest record of each key, sorted by key, and the position
 // after the last record that was applied.
-func (reg *Registry) Records() (records []feed.Item, end int64) {
+func (reg *Registry) Records() (records []feed.Item, end feed.Position) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	for _, key := range slices.Sorted(maps.Keys(reg.records)) {
 		records = append(records, reg.records[key])
 	}
-	return records, reg.nextOffset
+	return records, reg.end
 }
 
 // Apply implements feed.Sink. It applies the records that follow those of the last
-// call. The offset end follows the last record.
-func (reg *Registry) Apply(records []feed.Item, end int64) {
+// call. The position end follows the last record.
+func (reg *Registry) Apply(records []feed.Item, end feed.Position) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	changed := false
+	changed := reg.advance(end)
 	for _, r := range records {
 		changed = reg.applyRecord(r) || changed
 	}
-	reg.nextOffset = max(reg.nextOffset, end)
 	if changed {
 		reg.publish()
 	}
 }
 
 // Replace implements feed.Sink. It applies the newest records of all keys before
-// the offset end and removes the keys that are missing. A set that is older than
-// the registry's state is ignored.
-func (reg *Registry) Replace(records []feed.Item, end int64) {
+// the position end and removes the keys that are missing. A set that is older than
+// the registry's state is ignored. After a restore of the store, a set may lack what was
+// in force; see isDoubtful.
+func (reg *Registry) Replace(records []feed.Item, end feed.Position) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	if end < reg.nextOffset {
-		reg.log.Info().Int64("end", end).Int64("known_end", reg.nextOffset).Msg("orders_stale")
+	if end < reg.end {
+		reg.log.Info().Stringer("end", end).Stringer("known_end", reg.end).Msg("orders_stale")
 		return
 	}
-	changed := false
+	changed := reg.advance(end)
+	changed = reg.mergeRecords(records) || changed
+	if reg.isSettled() {
+		changed = reg.removeMissing(records, end) || changed
+	}
+	if changed {
+		reg.publish()
+	}
+}
+
+// Merge applies the newest records of a peer whose directives differ at the same end. This
+// happens after a restore of the store.
+func (reg *Registry) Merge(records []feed.Item) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	if reg.mergeRecords(records) {
+		reg.publish()
+	}
+}
+
+// removeMissing removes the keys that have no record in a full read before the position end.
+// It reports whether it changed the directives in force. The caller holds the lock.
+func (reg *Registry) removeMissing(records []feed.Item, end feed.Position) (changed bool) {
 	present := make(map[string]bool, len(records))
 	for _, r := range records {
 		present[r.Key] = true
-		changed = reg.applyRecord(r) || changed
 	}
 	for key, r := range reg.records {
-		if !present[key] && !r.Removed && r.Offset < end {
-			changed = reg.applyRecord(feed.Item{Key: key, Offset: r.Offset + 1, Removed: true}) || changed
+		if !present[key] && !r.Removed && r.Position < end {
+			changed = reg.applyRecord(feed.Item{Key: key, Position: r.Position + 1, Removed: true}) || changed
 		}
 	}
-	reg.nextOffset = end
-	if changed {
-		reg.publish()
-	}
+	return changed
 }
 
 // applyRecord applies one record and reports whether it changed the directives
 // in force. The caller holds the lock.
 func (reg *Registry) applyRecord(r feed.Item) bool {
 	old, exists := reg.records[r.Key]
-	if exists && r.Offset <= old.Offset {
+	if exists && r.Position <= old.Position && !reg.isNewerTable(r) {
 		if !bytes.Equal(r.Value, old.Value) {
-			reg.log.Info().Str("key", r.Key).Int64("offset", r.Offset).Int64("known_offset", old.Offset).Msg("order_stale")
+			reg.log.Info().Str("key", r.Key).Stringer("position", r.Position).Stringer("known", old.Position).Msg("order_stale")
 		}
 		return false
 	}
+	if exists && repeats(r, old) {
+		return reg.repeatRecord(r)
+	}
 	if r.Removed {
 		reg.records[r.Key] = r
 		_, wasActive := reg.directives[r.Key]
@@ -170,12 +204,12 @@
 			return false
 		}
 		delete(reg.directives, r.Key)
-		reg.log.Info().Str("key", r.Key).Int64("offset", r.Offset).Msg("order_taken_back")
+		reg.log.Info().Str("key", r.Key).Stringer("position", r.Position).Msg("order_taken_back")
 		return wasActive
 	}
 	d, err := reg.decode(r.Key, r.Value)
 	if err != nil {
-		reg.log.Warn().Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("order_unreadable")
+		reg.log.Warn().Str("key", r.Key).Stringer("position", r.Position).Err(err).Msg("order_unreadable")
 		return false
 	}
 	if t := reg.directives[r.Key].Table; t != nil && d.Table != nil && d.Table.Version < t.Version {
@@ -183,10 +217,10 @@
 		return false
 	}
 	if d.Move != nil {
-		d.Move.Offset, d.Move.ReceivedAt = r.Offset, reg.clock.Now()
+		d.Move.Position, d.Move.ReceivedAt = r.Position, reg.clock.Now()
 	}
 	reg.records[r.Key], reg.directives[r.Key] = r, d
-	reg.log.Info().Str("key", r.Key).Int64("offset", r.Offset).Uint64("hash", xxhash.Sum64(r.Value)).Msg("order_in_force")
+	reg.log.Info().Str("key", r.Key).Stringer("position", r.Position).Uint64("hash", xxhash.Sum64(r.Value)).Msg("order_in_force")
 	return true
 }
 
@@ -209,6 +243,7 @@
 			"table version %d replaces %d", active.Table.Version, old.Version)
 	}
 	reg.active.Store(active)
+	reg.hash.Store(reg.hashRecords())
 	for _, f := range reg.subscribers {
 		f(active)
 	}
--- a/internal/conf/order/order_test.go
+++ b/internal/conf/order/order_test.go
@@ -33,8 +33,8 @@
 }
 
 // record returns an item that sets the key or, if value is empty, deletes it.
-func record(key, value string, offset int64) feed.Item {
-	return feed.Item{Key: key, Value: []byte(value), Offset: offset, Removed: value == ""}
+func record(key, value string, position feed.Position) feed.Item {
+	return feed.Item{Key: key, Value: []byte(value), Position: position, Removed: value == ""}
 }
 
 // Guards against a configuration that returns to an older version, and against
@@ -105,5 +105,5 @@
 	peer.Replace(records, end)
 	g.Expect(peer.Current().Table.Version).To(Equal(int64(3)))
 	g.Expect(peer.Current().CentresOut).To(HaveKey("c1"))
-	g.Expect(peer.NextOffset()).To(Equal(int64(2)))
+	g.Expect(peer.End()).To(Equal(feed.Position(2)))
 }
--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -73,6 +73,13 @@
 // running and after a success that this daemon determined itself.
 func (m *Move) PhaseReason() string { return m.phaseReason }
 
+// RepeatOrder replaces the order by one with the same content that was written again after
+// a restore of the store. The progress of the move stays.
+func (m *Move) RepeatOrder(o order.Move) {
+	o.ReceivedAt = m.order.ReceivedAt
+	m.order = o
+}
+
 // MergeStart sets the start of the move to the time at which a peer received the
 // order, if that is earlier.
 func (m *Move) MergeStart(at clock.Milli) {
--- a/internal/node/mesh/announce.go
+++ b/internal/node/mesh/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	announceTimeout = clock.Second
 	// announceRetryDelay is the delay after a failed write.
 	announceRetryDelay = 700 * clock.Millisecond
+	// maxRewriteDelay is the longest delay of the write after a restore of the store.
+	maxRewriteDelay = clock.Second
 	// initialAnnounceDelay is how long a daemon without a heartbeat delays its first
 	// record, so that one write includes the upstream.
 	initialAnnounceDelay = 2500 * clock.Millisecond
@@ -40,6 +43,8 @@
 	mu        sync.Mutex
 	self      peers.Record
 	storedSeq uint64
+	// storedEra is the era of the store in which the record was last stored.
+	storedEra int64
 	waiters   []chan struct{}
 	wake      chan struct{}
 }
@@ -90,6 +95,20 @@
 	return done
 }
 
+// handleEra schedules another write of the record if it was last stored before a restore of
+// the store, which may have lost it.
+func (a *announcer) handleEra(era int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.storedSeq == 0 || era <= a.storedEra {
+		return
+	}
+	a.storedSeq, a.storedEra = 0, era
+	// At different times, so that the daemons don't all write at once.
+	delay := clock.Milli(rand.Float64()) * maxRewriteDelay
+	time.AfterFunc(delay.Duration(), a.scheduleWrite)
+}
+
 func (a *announcer) scheduleWrite() {
 	select {
 	case a.wake <- struct{}{}:
@@ -136,14 +155,15 @@
 	item := feed.Item{Key: self.ID, Value: value}
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout.Duration())
 	defer cancel()
-	if _, err := a.store.Append(ctx, a.topic, item, feed.AnyOffset); err != nil {
+	end, err := a.store.Append(ctx, a.topic, item, feed.AnyPosition)
+	if err != nil {
 		a.mu.Lock()
 		a.waiters = append(a.waiters, waiters...)
 		a.mu.Unlock()
 		return err
 	}
 	a.mu.Lock()
-	a.storedSeq = max(a.storedSeq, self.Seq)
+	a.storedSeq, a.storedEra = max(a.storedSeq, self.Seq), max(a.storedEra, end.Era())
 	a.mu.Unlock()
 	closeAll(waiters)
 	return nil
--- a/internal/node/mesh/metrics.go
+++ b/internal/node/mesh/metrics.go
@@ -45,7 +45,8 @@
 		}
 		return 0
 	})
-	n.meter.AddGauge("orders_offset", func() float64 { return float64(n.registry.NextOffset()) })
+	n.meter.AddGauge("orders_offset", func() float64 { return float64(n.registry.End().Offset()) })
+	n.meter.AddGauge("store_era", func() float64 { return float64(n.registry.End().Era()) })
 	n.meter.AddGauge("orders_store_online", func() float64 { return gaugeValue(n.orderFollower.Online()) })
 	n.meter.AddGauge("peers_known", func() float64 { return float64(len(n.table.Records())) })
 	n.meter.AddGauge("peers_linked", func() float64 { return float64(len(n.table.LinkedIDs())) })
@@ -77,24 +78,24 @@
 }
 
 // Read implements feed.Store.
-func (s *meteredStore) Read(ctx context.Context, topic string, from int64, wait clock.Milli) (feed.Batch, error) {
+func (s *meteredStore) Read(ctx context.Context, topic string, from feed.Position, wait clock.Milli) (feed.Batch, error) {
 	b, err := s.store.Read(ctx, topic, from, wait)
 	s.meter.CountStoreCall("read", storeResult(err))
 	return b, err
 }
 
 // Append implements feed.Store.
-func (s *meteredStore) Append(ctx context.Context, topic string, item feed.Item, at int64) (int64, error) {
-	offset, err := s.store.Append(ctx, topic, item, at)
+func (s *meteredStore) Append(ctx context.Context, topic string, item feed.Item, at feed.Position) (feed.Position, error) {
+	end, err := s.store.Append(ctx, topic, item, at)
 	s.meter.CountStoreCall("append", storeResult(err))
-	return offset, err
+	return end, err
 }
 
 // storeResult returns the metric label for the result of a call to the store.
 func storeResult(err error) string {
 	for label, target := range map[string]error{
-		"unavailable": feed.ErrUnavailable, "unknown": feed.ErrOutcomeUnknown, "gone": feed.ErrGone,
-		"moved": feed.ErrOffsetMismatch, "refused": feed.ErrRefused,
+		"unavailable": feed.ErrUnavailable, "unknown": feed.ErrOutcomeUnknown, "gone": feed.ErrGone, "restored": feed.ErrRestored,
+		"moved": feed.ErrPositionMismatch, "refused": feed.ErrRefused,
 	} {
 		if errors.Is(err, target) {
 			return label
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -57,7 +57,11 @@
 	defer m.mu.Unlock()
 	for service, ord := range o.Moves {
 		old := m.byService[service]
-		if old != nil && old.move.Order().Offset >= ord.Offset {
+		if old != nil && old.move.Order().Position >= ord.Position {
+			continue
+		}
+		if old != nil && ord.Repeats {
+			m.repeatMove(service, old, ord)
 			continue
 		}
 		m.byService[service] = &moveState{move: canary.New(ord)}
@@ -66,6 +70,15 @@
 	}
 }
 
+// repeatMove continues a move whose order was written again after a restore of the store. The
+// restore may have lost its final status, so it is written again too. The caller holds the
+// lock.
+func (m *moveTracker) repeatMove(service string, s *moveState, ord order.Move) {
+	s.move.RepeatOrder(ord)
+	s.statusStored, s.endedAt = false, m.clock.Now()
+	m.log.Info().Str("service", service).Str("version", ord.Version).Str("phase", s.move.Phase().String()).Msg("version_move_repeated")
+}
+
 func (m *moveTracker) hasRunningMove(service string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -187,7 +200,7 @@
 		ord := s.move.Order()
 		step, at := s.move.LastStep()
 		out = append(out, &wire.MoveState{
-			Service: service, Offset: ord.Offset, AgeMs: float64(now - ord.ReceivedAt), Phase: phase,
+			Service: service, Offset: int64(ord.Position), AgeMs: float64(now - ord.ReceivedAt), Phase: phase,
 			Step: uint32(step), StepAgeMs: float64(now - at),
 		})
 	}
@@ -200,7 +213,7 @@
 	defer m.mu.Unlock()
 	for _, w := range in {
 		s := m.byService[w.GetService()]
-		if s == nil || s.move.Order().Offset != w.GetOffset() {
+		if s == nil || int64(s.move.Order().Position) != w.GetOffset() {
 			continue
 		}
 		s.move.MergeStart(now - clock.Milli(w.GetAgeMs()))
--- a/internal/node/mesh/moves_test.go
+++ b/internal/node/mesh/moves_test.go
@@ -45,7 +45,7 @@
 		self: id, clock: clock.NewReal(), log: zerolog.Nop(), table: table, notifyPeers: func() {},
 		byService: make(map[string]*moveState),
 	}
-	move := order.Move{Service: moveService, Version: "v2", MaxDuration: 10 * clock.Second, Offset: 1, ReceivedAt: m.clock.Now()}
+	move := order.Move{Service: moveService, Version: "v2", MaxDuration: 10 * clock.Second, Position: 1, ReceivedAt: m.clock.Now()}
 	m.applyOrders(&order.ActiveSet{Moves: map[string]order.Move{moveService: move}})
 	u := newUpstream(m.clock, zerolog.Nop())
 	u.update(func(now clock.Milli, t *health.Tracker) {
@@ -141,3 +141,23 @@
 		g.Expect(errors.Is(<-serveErrs, context.Canceled)).To(BeTrue())
 	}
 }
+
+// Guards against a version move that begins again, or whose final status stays lost, after
+// its order was written again to a restored store.
+func TestMoveGoesOnAfterRestore(t *testing.T) {
+	g := NewWithT(t)
+	m := newTestReporter(loopbackNet{}, "a", []string{"a"}).moves
+	s := m.byService[moveService]
+	s.move.SetFinalPhase(canary.RolledBack, "test")
+	s.statusStored = true
+	again := s.move.Order()
+	again.Position, again.Repeats = feed.NewPosition(1, 1), true
+	m.applyOrders(&order.ActiveSet{Moves: map[string]order.Move{moveService: again}})
+	g.Expect(m.byService[moveService].move.Phase()).To(Equal(canary.RolledBack))
+	g.Expect(m.movesToStore(m.clock.Now() + writeTurnDelay)).To(HaveLen(1))
+	m.merge(m.clock.Now(), []*wire.MoveState{{Service: moveService, Offset: 1, Phase: uint32(canary.RolledBack) | statusStoredBit}})
+	g.Expect(m.byService[moveService].statusStored).To(BeFalse())
+	again.Position, again.Repeats = feed.NewPosition(1, 2), false
+	m.applyOrders(&order.ActiveSet{Moves: map[string]order.Move{moveService: again}})
+	g.Expect(m.byService[moveService].move.Phase()).To(Equal(canary.Running))
+}
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -72,7 +72,7 @@
 	assert.SetLogger(log)
 	n := &Node{settings: s, platform: p, clock: clk, log: log, table: peers.New(s.Listen.Peer), meter: meter.New()}
 	n.store = &meteredStore{store: p.Store(), meter: n.meter}
-	records, offset := n.readStoredPeers()
+	records, end := n.readStoredPeers()
 	previous := records.lookup(s.Listen.Peer)
 	n.self = call.Target{
 		ID: s.Listen.Peer, Incarnation: max(uint64(clk.Now()), previous.Incarnation+1),
@@ -81,7 +81,7 @@
 	n.buildCallPath(previous)
 	n.table.Merge(records...)
 	n.peerFollower = feed.NewFollower(n.store, p.Topics().Peers, peerSink{table: n.table, log: log, onNew: n.logNewPeers}, log,
-		feed.WithStartOffset(offset), feed.WithBatchDelay(peerBatchDelay), feed.WithIdleStart(),
+		feed.WithStart(end), feed.WithBatchDelay(peerBatchDelay), feed.WithIdleStart(),
 		feed.WithReadHook(func() { n.watch.peersRead() }))
 	n.buildServices()
 	return n, n.listen()
@@ -100,20 +100,20 @@
 	return peers.Record{}
 }
 
-// readStoredPeers reads the stored records of all daemons. It returns them and the offset
+// readStoredPeers reads the stored records of all daemons. It returns them and the position
 // to follow the topic from.
-func (n *Node) readStoredPeers() (records storedRecords, offset int64) {
+func (n *Node) readStoredPeers() (records storedRecords, end feed.Position) {
 	if n.settings.FirstStart {
-		return nil, feed.OffsetNone
+		return nil, feed.PositionNone
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), restoreTimeout.Duration())
 	defer cancel()
 	b, err := n.store.Newest(ctx, n.platform.Topics().Peers)
 	if err != nil {
 		n.log.Warn().Err(err).Msg("start_without_store")
-		return nil, feed.OffsetNone
+		return nil, feed.PositionNone
 	}
-	return decodePeers(b.Items, n.log), b.NextOffset
+	return decodePeers(b.Items, n.log), b.End
 }
 
 // buildCallPath creates the components that process calls: the upstream, the guard and the
--- a/internal/node/mesh/peersink.go
+++ b/internal/node/mesh/peersink.go
@@ -17,12 +17,12 @@
 
 // Replace implements feed.Sink. It removes no records: one that is missing in the batch
 // may have been received from a peer before the store had it.
-func (s peerSink) Replace(items []feed.Item, end int64) {
+func (s peerSink) Replace(items []feed.Item, end feed.Position) {
 	s.Apply(items, end)
 }
 
 // Apply implements feed.Sink.
-func (s peerSink) Apply(items []feed.Item, _ int64) {
+func (s peerSink) Apply(items []feed.Item, _ feed.Position) {
 	s.onNew(s.table.Merge(decodePeers(items, s.log)...))
 }
 
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 
 	"github.com/rs/zerolog"
@@ -29,6 +30,9 @@
 	maxSharedOrderBytes = link.MaxFrameBytes / 2
 	// farSyncShare is the share of synchronisations with other data centres.
 	farSyncShare = 0.25
+	// mergeInterval is the shortest time between pulls of orders that differ at the same
+	// end.
+	mergeInterval = 500 * clock.Millisecond
 	// syncTimeout limits one synchronisation.
 	syncTimeout = clock.Second
 )
@@ -48,6 +52,8 @@
 	pollOrders func()
 	// pulling is set while a synchronisation that a peer's newer orders caused runs.
 	pulling atomic.Bool
+	// lastMergeAt is when orders that differ at the same end were last pulled, in ms.
+	lastMergeAt atomic.Int64
 }
 
 // Serve implements suture.Service.
@@ -101,7 +107,7 @@
 	self := s.ownRecord()
 	now := s.clock.Now()
 	req := &wire.ShareRequest{
-		Member: self.ID, OrdersEnd: s.registry.NextOffset(), PeersHash: s.table.Hash(), Moves: s.moves.encode(now),
+		Member: self.ID, OrdersEnd: int64(s.registry.End()), OrdersHash: s.registry.Hash(), PeersHash: s.table.Hash(), Moves: s.moves.encode(now),
 		Self: self.Encode(), Store: s.view.encode(),
 	}
 	payload, err := proto.Marshal(req)
@@ -129,24 +135,43 @@
 func (s *stateSync) applyReply(r *wire.ShareReply) {
 	// Orders must be applied before records: an upstream of a new version must
 	// not get calls before the order of its move is in force.
-	if r.GetOrdersWhole() && r.GetOrdersEnd() > s.registry.NextOffset() {
-		records := make([]feed.Item, 0, len(r.GetOrders()))
-		for _, o := range r.GetOrders() {
-			records = append(records, feed.Item{Key: o.GetKey(), Value: o.GetValue(), Offset: o.GetOffset(), Removed: o.GetRemoved()})
-		}
-		s.log.Info().Int64("end", r.GetOrdersEnd()).Int64("own_end", s.registry.NextOffset()).Msg("orders_from_peer")
-		s.registry.Replace(records, r.GetOrdersEnd())
-	}
-	if !r.GetOrdersWhole() && r.GetOrdersEnd() > s.registry.NextOffset() {
-		s.log.Info().Int64("end", r.GetOrdersEnd()).Int64("own_end", s.registry.NextOffset()).Msg("orders_too_large_for_peer")
-		s.pollOrders()
-	}
+	s.applyOrders(r)
 	s.moves.merge(s.clock.Now(), r.GetMoves())
 	for _, p := range r.GetPeers() {
 		s.table.Merge(peers.Decode(p))
 	}
 }
 
+// applyOrders applies the orders that a peer returned, if they are not older than the own
+// ones.
+func (s *stateSync) applyOrders(r *wire.ShareReply) {
+	end, ownEnd := feed.Position(r.GetOrdersEnd()), s.registry.End()
+	switch {
+	case end < ownEnd, end == ownEnd && !r.GetOrdersWhole():
+		return
+	case end == ownEnd:
+		s.registry.Merge(decodeOrders(r.GetOrders()))
+	case r.GetOrdersWhole():
+		s.registry.Replace(withoutRemoved(decodeOrders(r.GetOrders())), end)
+	default:
+		s.pollOrders()
+	}
+	s.log.Info().Bool("whole", r.GetOrdersWhole()).Stringer("end", end).Stringer("own_end", ownEnd).Msg("orders_from_peer")
+}
+
+func decodeOrders(in []*wire.OrderRecord) []feed.Item {
+	out := make([]feed.Item, 0, len(in))
+	for _, o := range in {
+		out = append(out, feed.Item{Key: o.GetKey(), Value: o.GetValue(), Position: feed.Position(o.GetOffset()), Removed: o.GetRemoved()})
+	}
+	return out
+}
+
+// withoutRemoved returns the records of keys that are in force.
+func withoutRemoved(records []feed.Item) []feed.Item {
+	return slices.DeleteFunc(records, func(r feed.Item) bool { return r.Removed })
+}
+
 // handleRequest answers a peer's synchronisation with the state that the peer lacks.
 func (s *stateSync) handleRequest(_ context.Context, _ link.Peer, payload []byte) ([]byte, error) {
 	req := new(wire.ShareRequest)
@@ -155,35 +180,48 @@
 	}
 	s.table.Merge(peers.Decode(req.GetSelf()))
 	s.view.observe(req.GetMember(), req.GetStore())
-	if req.GetOrdersEnd() > s.registry.NextOffset() && s.pulling.CompareAndSwap(false, true) {
+	now := s.clock.Now()
+	if s.lacksOrders(now, req) && s.pulling.CompareAndSwap(false, true) {
 		go (&orderPull{sync: s, id: req.GetMember()}).run()
 	}
-	now := s.clock.Now()
 	s.moves.merge(now, req.GetMoves())
-	reply := &wire.ShareReply{OrdersEnd: s.registry.NextOffset(), Moves: s.moves.encode(now), Store: s.view.encode()}
+	reply := &wire.ShareReply{OrdersEnd: int64(s.registry.End()), Moves: s.moves.encode(now), Store: s.view.encode()}
 	if req.GetPeersHash() != s.table.Hash() {
 		for _, r := range s.table.Records() {
 			reply.Peers = append(reply.Peers, r.Encode())
 		}
 	}
-	if req.GetOrdersEnd() < reply.GetOrdersEnd() {
+	if req.GetOrdersEnd() < reply.GetOrdersEnd() || s.ordersDiffer(req) {
 		s.addOrders(reply)
 	}
 	return proto.Marshal(reply)
 }
 
+// ordersDiffer reports whether the orders of a peer differ from the own ones at the same end,
+// as after a restore of the store.
+func (s *stateSync) ordersDiffer(req *wire.ShareRequest) bool {
+	return feed.Position(req.GetOrdersEnd()) == s.registry.End() && req.GetOrdersHash() != 0 && req.GetOrdersHash() != s.registry.Hash()
+}
+
+// lacksOrders reports whether a peer has orders to pull. Those that differ at the same end may
+// do so until both have settled, so they are not pulled at each request.
+func (s *stateSync) lacksOrders(now clock.Milli, req *wire.ShareRequest) bool {
+	if feed.Position(req.GetOrdersEnd()) > s.registry.End() {
+		return true
+	}
+	last := clock.Milli(s.lastMergeAt.Load())
+	return s.ordersDiffer(req) && now-last >= mergeInterval && s.lastMergeAt.CompareAndSwap(int64(last), int64(now))
+}
+
 // addOrders adds all orders to a reply, or only their end if they are too large.
 func (s *stateSync) addOrders(reply *wire.ShareReply) {
 	records, end := s.registry.Records()
-	reply.OrdersEnd = end
+	reply.OrdersEnd = int64(end)
 	size := 0
 	orders := make([]*wire.OrderRecord, 0, len(records))
 	for _, r := range records {
-		if r.Removed {
-			continue
-		}
 		size += len(r.Key) + len(r.Value)
-		orders = append(orders, &wire.OrderRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+		orders = append(orders, &wire.OrderRecord{Key: r.Key, Value: r.Value, Offset: int64(r.Position), Removed: r.Removed})
 	}
 	if size <= maxSharedOrderBytes {
 		reply.OrdersWhole, reply.Orders = true, orders
--- a/internal/node/mesh/statuswriter.go
+++ b/internal/node/mesh/statuswriter.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = w.store.Append(ctx, topic, feed.Item{Key: key, Value: value}, b.NextOffset)
+	_, err = w.store.Append(ctx, topic, feed.Item{Key: key, Value: value}, b.End)
 	return err
 }
 
--- a/internal/node/mesh/storewatch.go
+++ b/internal/node/mesh/storewatch.go
@@ -105,6 +105,7 @@
 		case <-s.changed:
 			s.notifyPeers(ctx)
 		case <-t.C:
+			s.announcer.handleEra(s.registry.End().Era())
 			s.discover()
 			if s.clock.Now() >= s.startAt {
 				s.update(ctx)
@@ -190,7 +191,7 @@
 // restartIfBehind repeats the read of a follower that lacks records that peers have.
 func (s *storeWatch) restartIfBehind() {
 	now := s.clock.Now()
-	if !s.isWatching() || s.orderFollower.Offset() >= s.registry.NextOffset() {
+	if !s.isWatching() || s.orderFollower.Position() >= s.registry.End() {
 		s.behindSince = now
 		return
 	}
