feed: count as online before the items of a read are applied

A follower applied the items of a read, paused to collect more, and only then recorded that the store answers; so a daemon could serve by a configuration that it seemed unable to have read. It now records that first. TestOnlineBeforeItemsAreApplied failed before.

--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -215,7 +215,6 @@
 		next, err := f.readOnce(ctx, end)
 		switch {
 		case err == nil:
-			f.setOnline(true, nil)
 			retry.Reset()
 			end = next
 		case errors.Is(err, ErrGone):
@@ -241,6 +240,7 @@
 		if err != nil {
 			return from, err
 		}
+		f.setOnline(true, nil)
 		f.sink.Replace(b.Items, b.End)
 		f.onRead()
 		if f.restored {
@@ -256,6 +256,7 @@
 	if err != nil {
 		return from, err
 	}
+	f.setOnline(true, nil)
 	f.sink.Apply(b.Items, b.End)
 	f.onRead()
 	f.readImmediately = len(b.Items) > 0
--- a/internal/conf/feed/follow_test.go
+++ b/internal/conf/feed/follow_test.go
@@ -269,6 +269,39 @@
 	g.Consistently(fullReads, 500*time.Millisecond).Should(Equal(before + 1))
 }
 
+// onlineSink records whether the follower counted as online when it passed items on.
+type onlineSink struct {
+	sink
+	follower *feed.Follower
+	offline  bool
+}
+
+func (s *onlineSink) Replace(items []feed.Item, end feed.Position) { s.Apply(items, end) }
+
+func (s *onlineSink) Apply(items []feed.Item, end feed.Position) {
+	s.offline = s.offline || !s.follower.Online()
+	s.sink.Apply(items, end)
+}
+
+// Guards against a follower that counts as cut off from the store while the records that it
+// has just read are already in force.
+func TestOnlineBeforeItemsAreApplied(t *testing.T) {
+	g := NewWithT(t)
+	s := newFakeStore()
+	s.add("k", "old")
+	out := &onlineSink{sink: sink{values: map[string]string{}}}
+	out.follower = feed.NewFollower(s, "t", out, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- out.follower.Serve(ctx) }()
+	g.Eventually(out.value("k"), time.Second).Should(Equal("old"))
+	s.add("k", "new")
+	g.Eventually(out.value("k"), time.Second).Should(Equal("new"))
+	cancel()
+	<-done
+	g.Expect(out.offline).To(BeFalse())
+}
+
 // Guards against a waiting read whose reply is lost and that never times out.
 func TestWaitingReadIsLost(t *testing.T) {
 	g := NewWithT(t)
