queue: refuse calls that would be late rather than make them wait for a limit

The queue let each call wait until half of its time to the soft deadline or 0.3 of that to the deadline, so under persistent load all waited about that long.

A call now waits for the stated limit only if it can still be answered by its soft deadline, at least 30 ms; another one is refused at once with the time to return. The wait for a slot is unchanged, so loads without a stated limit are not affected.

--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -52,6 +52,8 @@
 	request     admit.Request
 	seq         uint64
 	latestStart clock.Milli
+	// latestLimitedStart replaces latestStart while the stated rate limit delays the call.
+	latestLimitedStart clock.Milli
 }
 
 // Dispatcher holds the queued and running calls of one upstream. It is not safe for
@@ -143,6 +145,7 @@
 	}
 	d.seq++
 	queued := queuedCall{request: req, seq: d.seq, latestStart: d.latestStart(now, req)}
+	queued.latestLimitedStart = d.latestLimitedStart(now, queued.latestStart, req)
 	position := d.queuePosition(queued)
 	if reason := d.lateStartReason(now, position, queued); reason != call.ReasonNone {
 		return append(decisions, d.refuseLate(now, req, reason))
--- a/internal/core/queue/ratelimit_test.go
+++ b/internal/core/queue/ratelimit_test.go
@@ -203,3 +203,39 @@
 	g.Expect(returnAt).To(BeEmpty())
 	g.Expect(admitted).To(HaveLen(5))
 }
+
+// Guards against a persistent load above the limit that makes all callers wait until nearly
+// each response is late.
+func TestCallsWithinLimitAreAnsweredInTime(t *testing.T) {
+	g := NewWithT(t)
+	const serviceTime, softDeadline, interval = 150, 350, 40
+	d := queue.New(6)
+	for range 50 {
+		d.Offer(start, newRequest(200, 0, true))
+		d.Finish(start, callID(200), admit.Result{Latency: serviceTime})
+	}
+	d.ObserveNotice(start, statedLimit(10, start))
+	offeredAt := make(map[call.ID]clock.Milli)
+	inTime, late := 0, 0
+	for now := start; now < start+20*clock.Second; now++ {
+		decisions := d.Tick(now)
+		if int(now-start)%interval == 0 {
+			id := call.ID{byte(len(offeredAt)), byte(len(offeredAt) >> 8), 1}
+			offeredAt[id] = now
+			decisions = append(decisions, d.Offer(now, admit.Request{ID: id, Route: "r", MayQueue: true, SoftDeadline: now + softDeadline, Deadline: now + 1000})...)
+		}
+		for _, decision := range decisions {
+			if !decision.Admit {
+				continue
+			}
+			if now+serviceTime <= offeredAt[decision.ID]+softDeadline {
+				inTime++
+			} else {
+				late++
+			}
+			d.Finish(now, decision.ID, admit.Result{Latency: serviceTime})
+		}
+	}
+	g.Expect(inTime).To(BeNumerically(">=", 190))
+	g.Expect(late).To(BeNumerically("<=", 2))
+}
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -52,6 +52,24 @@
 	return min(req.Deadline, now+wait)
 }
 
+// latestLimitedStart returns the latest instant at which a call may start if it waits for the
+// stated rate limit: one that would be answered after its soft deadline takes the place of
+// another one that would not.
+func (d *Dispatcher) latestLimitedStart(now, latestStart clock.Milli, req admit.Request) clock.Milli {
+	if req.SoftDeadline == 0 {
+		return latestStart
+	}
+	serviceTime := clock.Milli(d.currentSlowdown(now)) * d.baselineServiceTime(req.Route)
+	return min(latestStart, max(now+minQueueWait, req.SoftDeadline-serviceTime))
+}
+
+// isLimitedTooLong reports whether the stated rate limit delays a call beyond its latest
+// start.
+func (d *Dispatcher) isLimitedTooLong(now clock.Milli, ahead int, queued queuedCall) bool {
+	wait := d.statedLimit.waitTime(now, ahead)
+	return wait > 0 && now+wait > queued.latestLimitedStart
+}
+
 // queuePosition returns the index at which a call is inserted into the queue, which
 // is ordered by priority, then by arrival.
 func (d *Dispatcher) queuePosition(queued queuedCall) int {
@@ -73,7 +91,7 @@
 		}
 		return call.ReasonNone
 	}
-	if now+d.statedLimit.waitTime(now, ahead) > queued.latestStart {
+	if d.isLimitedTooLong(now, ahead, queued) {
 		return call.ReasonRateLimit
 	}
 	if len(d.inProgress) < d.maxInProgress() && ahead == 0 {
@@ -158,10 +176,10 @@
 			decisions = append(decisions, admit.Decision{ID: queued.request.ID, Reason: call.ReasonDeadline})
 		case now >= queued.latestStart && d.canAnswerOnSlowVM(now, queued):
 			decisions = append(decisions, d.admit(now, queued.request))
-		case now >= queued.latestStart && d.statedLimit.hasToken(now):
-			decisions = append(decisions, admit.Decision{ID: queued.request.ID, Reason: call.ReasonQueueTimeout})
-		case now+d.statedLimit.waitTime(now, len(kept)) > queued.latestStart:
+		case d.isLimitedTooLong(now, len(kept), queued):
 			decisions = append(decisions, d.refuseLate(now, queued.request, call.ReasonRateLimit))
+		case now >= queued.latestStart:
+			decisions = append(decisions, admit.Decision{ID: queued.request.ID, Reason: call.ReasonQueueTimeout})
 		default:
 			kept = append(kept, queued)
 		}
