--- a/internal/conf/feed/follow_test.go
+++ b/internal/conf/feed/follow_test.go
@@ -298,7 +298,7 @@
 	s.add("k", "new")
 	g.Eventually(out.value("k"), time.Second).Should(Equal("new"))
 	cancel()
-	<-done
+	g.Expect(<-done).To(MatchError(context.Canceled))
 	g.Expect(out.offline).To(BeFalse())
 }
 
