mesh: return the record of an earlier daemon to the one that replaced it

An upstream that drains could get calls again: the store was restored and lost the record that says so, the daemon beside it was killed, and a delayed heartbeat said that it is ready. Found by looking for the cause of the restored store elsewhere: the daemon's record in the store was taken as proof of the upstream's last state. Peers had the record, but dropped it when the new daemon's one arrived.

A peer that replaces the record of an earlier daemon now returns it, and an instance that was leaving stays so.

--- a/internal/fleet/health/tracker.go
+++ b/internal/fleet/health/tracker.go
@@ -93,12 +93,16 @@
 }
 
 // Restore records the state that an earlier daemon on this VM announced, as down
-// until it is confirmed. It does nothing if an instance is already known, because
-// heartbeats take precedence.
+// until it is confirmed. If an instance is already known, heartbeats take precedence, except
+// that one which was leaving still is.
 func (t *Tracker) Restore(u UpstreamState) {
 	if !t.current.Known() {
 		u.Down = true
 		t.current = u
+		return
+	}
+	if u.Instance == t.current.Instance && u.StartedAt == t.current.StartedAt {
+		t.current.Leaving = t.current.Leaving || u.Leaving
 	}
 }
 
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -154,12 +154,13 @@
 
 // restoreUpstream restores the state of the upstream from the record of an earlier daemon
 // at the same address. The state takes effect once a health check confirms the instance.
+// That an instance leaves takes effect at once.
 func (n *Node) restoreUpstream(previous peers.Record) {
 	if previous.Instance == "" {
 		return
 	}
 	u := health.UpstreamState{Instance: previous.Instance, StartedAt: previous.StartedAt, Version: previous.Version, Slots: previous.Slots, Leaving: previous.Leaving}
-	n.upstream.tracker.Restore(u)
+	n.upstream.update(func(_ clock.Milli, t *health.Tracker) { t.Restore(u) })
 }
 
 func (n *Node) identity() link.Identity {
@@ -176,6 +177,7 @@
 		clock: n.clock, log: n.log, pool: n.pool, table: n.table, registry: n.registry, moves: n.moves,
 		view: n.watch.view, ownRecord: n.announcer.ownRecord, pollOrders: n.orderFollower.Poll,
 	}
+	n.sync.onPredecessor = n.restoreUpstream
 	n.watch.notify = n.sync.syncWithEach
 	n.announcer.onChange = func() { go (&recordPush{sync: n.sync}).run() }
 	n.registry.Subscribe(func(*order.ActiveSet) { n.watch.ordersChanged() })
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -48,6 +48,9 @@
 	moves     *moveTracker
 	view      *storeView
 	ownRecord func() peers.Record
+	// onPredecessor receives the record of an earlier daemon at the own address, as a peer
+	// last had it.
+	onPredecessor func(peers.Record)
 	// pollOrders makes this daemon read the orders from the store once.
 	pollOrders func()
 	// pulling is set while a synchronisation that a peer's newer orders caused runs.
@@ -138,10 +141,21 @@
 	s.applyOrders(r)
 	s.moves.merge(s.clock.Now(), r.GetMoves())
 	for _, p := range r.GetPeers() {
-		s.table.Merge(peers.Decode(p))
+		s.mergePeer(peers.Decode(p))
 	}
 }
 
+// mergePeer merges a record of a daemon. That of an earlier daemon at the own address is only
+// of use for the state of the upstream.
+func (s *stateSync) mergePeer(r peers.Record) {
+	self := s.ownRecord()
+	if r.ID == self.ID && r.Incarnation < self.Incarnation {
+		s.onPredecessor(r)
+		return
+	}
+	s.table.Merge(r)
+}
+
 // applyOrders applies the orders that a peer returned, if they are not older than the own
 // ones.
 func (s *stateSync) applyOrders(r *wire.ShareReply) {
@@ -178,7 +192,7 @@
 	if err := proto.Unmarshal(payload, req); err != nil {
 		return nil, err
 	}
-	s.table.Merge(peers.Decode(req.GetSelf()))
+	predecessor, restarted := s.mergeSender(peers.Decode(req.GetSelf()))
 	s.view.observe(req.GetMember(), req.GetStore())
 	now := s.clock.Now()
 	if s.lacksOrders(now, req) && s.pulling.CompareAndSwap(false, true) {
@@ -191,12 +205,23 @@
 			reply.Peers = append(reply.Peers, r.Encode())
 		}
 	}
+	if restarted {
+		reply.Peers = append(reply.Peers, predecessor.Encode())
+	}
 	if req.GetOrdersEnd() < reply.GetOrdersEnd() || s.ordersDiffer(req) {
 		s.addOrders(reply)
 	}
 	return proto.Marshal(reply)
 }
 
+// mergeSender merges the record of a daemon. If it replaces that of an earlier daemon at the
+// same address, mergeSender returns the earlier one: the store may have lost it.
+func (s *stateSync) mergeSender(r peers.Record) (predecessor peers.Record, restarted bool) {
+	old, known := s.table.Lookup(r.ID)
+	merged := s.table.Merge(r)
+	return old, known && len(merged) > 0 && old.Incarnation < r.Incarnation
+}
+
 // ordersDiffer reports whether the orders of a peer differ from the own ones at the same end,
 // as after a restore of the store.
 func (s *stateSync) ordersDiffer(req *wire.ShareRequest) bool {
