mesh: pull again after a notification that arrives during a pull

A daemon ignored a peer's notification of newer directives while it still got earlier ones from another peer. That peer's answer could lack the later change, and then only the synchronisation with a random peer each second brought it, later still if that peer was cut off or frozen.

The puller now notes the peer and pulls from it afterwards.

--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -177,6 +177,7 @@
 		clock: n.clock, log: n.log, pool: n.pool, table: n.table, registry: n.registry, moves: n.moves,
 		view: n.watch.view, ownRecord: n.announcer.ownRecord, pollOrders: n.orderFollower.Poll,
 	}
+	n.sync.puller.pull = n.sync.syncWith
 	n.sync.onPredecessor = n.restoreUpstream
 	n.watch.notify = n.sync.syncWithEach
 	n.announcer.onChange = func() { go (&recordPush{sync: n.sync}).run() }
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -53,8 +53,7 @@
 	onPredecessor func(peers.Record)
 	// pollOrders makes this daemon read the orders from the store once.
 	pollOrders func()
-	// pulling is set while a synchronisation that a peer's newer orders caused runs.
-	pulling atomic.Bool
+	puller     orderPuller
 	// lastMergeAt is when orders that differ at the same end were last pulled, in ms.
 	lastMergeAt atomic.Int64
 }
@@ -195,8 +194,8 @@
 	predecessor, restarted := s.mergeSender(peers.Decode(req.GetSelf()))
 	s.view.observe(req.GetMember(), req.GetStore())
 	now := s.clock.Now()
-	if s.lacksOrders(now, req) && s.pulling.CompareAndSwap(false, true) {
-		go (&orderPull{sync: s, id: req.GetMember()}).run()
+	if s.lacksOrders(now, req) {
+		s.puller.request(req.GetMember())
 	}
 	s.moves.merge(now, req.GetMoves())
 	reply := &wire.ShareReply{OrdersEnd: int64(s.registry.End()), Moves: s.moves.encode(now), Store: s.view.encode()}
@@ -277,17 +276,6 @@
 	p.sync.syncWithAll(context.Background())
 }
 
-// orderPull gets newer orders from a peer that reported them.
-type orderPull struct {
-	sync *stateSync
-	id   string
-}
-
-func (p *orderPull) run() {
-	defer p.sync.pulling.Store(false)
-	p.sync.syncWith(context.Background(), p.id)
-}
-
 // peerSync is one synchronisation that syncWithAll started.
 type peerSync struct {
 	sync *stateSync
