feed: finish a poll that begins at a lost position

A daemon that is not a watcher reads the store once when a peer reports directives that do not fit a message. After a restore, or when the records at its position were no longer retained, that read ended with the error only, and the daemon got the directives with the next report, a second or more later.

--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -220,9 +220,12 @@
 		case errors.Is(err, ErrGone):
 			f.log.Info().Str("topic", f.topic).Stringer("from", end).Msg("store_records_gone")
 			end = PositionNone
+			// An idle follower has not finished its poll.
+			f.polled.Store(true)
 		case errors.Is(err, ErrRestored):
 			f.log.Warn().Str("topic", f.topic).Stringer("from", end).Msg("store_restored")
 			end, f.restored = PositionNone, true
+			f.polled.Store(true)
 		case ctx.Err() != nil:
 		default:
 			f.readImmediately = true
