--- a/internal/conf/feed/follow_test.go
+++ b/internal/conf/feed/follow_test.go
@@ -52,10 +52,10 @@
 	f(s)
 }
 
-// restore drops all items but the first n and begins an era.
-func (s *fakeStore) restore(n int) {
+// restore drops all items but the first one and begins an era.
+func (s *fakeStore) restore() {
 	s.update(func(s *fakeStore) {
-		s.items, s.era = s.items[:n], s.era+1
+		s.items, s.era = s.items[:1], s.era+1
 		close(s.appended)
 		s.appended = make(chan struct{})
 	})
@@ -208,13 +208,13 @@
 			s.add("x", "lost")
 			s.add("x", "lost too")
 			g.Eventually(f.Position, time.Second).Should(Equal(feed.Position(3)))
-			s.restore(1)
+			s.restore()
 			s.add("k", "new")
 		},
 		"store restored and more is written than was lost": func(g Gomega, s *fakeStore, f *feed.Follower) {
 			s.add("x", "lost")
 			g.Eventually(f.Position, time.Second).Should(Equal(feed.Position(2)))
-			s.restore(1)
+			s.restore()
 			s.add("k", "new")
 			s.add("x", "again")
 			s.add("y", "later")
@@ -253,7 +253,7 @@
 // then got them only with the next poll.
 func TestPollAtLostPosition(t *testing.T) {
 	tests := map[string]func(s *fakeStore){
-		"restored":           func(s *fakeStore) { s.restore(1) },
+		"restored":           func(s *fakeStore) { s.restore() },
 		"no longer retained": func(s *fakeStore) { s.update(func(s *fakeStore) { s.firstOffset = 3 }) },
 	}
 	for name, lose := range tests {
@@ -281,7 +281,7 @@
 	s.add("k", "old")
 	f, _ := startFollower(t, s)
 	g.Eventually(f.Position, time.Second).Should(Equal(feed.Position(1)))
-	s.restore(1)
+	s.restore()
 	g.Eventually(f.Position, maxRecovery).Should(Equal(feed.NewPosition(1, 1)))
 	fullReads := func() int {
 		s.mu.Lock()
