feed: bound the era in a position

A store whose eras begin with a large number, such as a time, would overflow the bits above the offset, so that positions are no longer ordered. The low 22 bits of the era count now.

--- a/internal/conf/feed/position.go
+++ b/internal/conf/feed/position.go
@@ -6,8 +6,12 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 )
 
-// offsetBits is the number of low bits of a Position that hold the offset.
-const offsetBits = 40
+// offsetBits is the number of low bits of a Position that hold the offset, eraBits that of
+// the bits above them that hold the era.
+const (
+	offsetBits = 40
+	eraBits    = 22
+)
 
 // RestoreSettleTime is the time after which the operators have written again what a restore
 // of the store has lost.
@@ -18,9 +22,10 @@
 // offsets again that it had given to records that are lost.
 type Position int64
 
-// NewPosition returns the position of an offset in an era.
+// NewPosition returns the position of an offset in an era. Of an era that is too large, the
+// low bits count.
 func NewPosition(era, offset int64) Position {
-	return Position(era<<offsetBits | offset)
+	return Position(era&(1<<eraBits-1)<<offsetBits | offset)
 }
 
 // Era returns the number of times that the store was restored.
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -167,7 +167,8 @@
 }
 
 // expireQueued refuses the queued calls that can no longer start in time, also because a
-// lower rate limit was stated or calls of higher priority have arrived, and admits those that have waited for a faster VM but can still be answered by the slow one.
+// lower rate limit was stated or calls of higher priority have arrived. It admits those
+// that have waited for a faster VM but can still be answered by the slow one.
 func (d *Dispatcher) expireQueued(now clock.Milli, decisions []admit.Decision) []admit.Decision {
 	kept := d.queue[:0]
 	for _, queued := range d.queue {
