--- a/internal/conf/feed/position_test.go
+++ b/internal/conf/feed/position_test.go
@@ -14,6 +14,8 @@
 	ordered := map[string][]feed.Position{
 		"small eras": {feed.NewPosition(0, 0), feed.NewPosition(0, 9), feed.NewPosition(1, 0), feed.NewPosition(1, 7), feed.NewPosition(2, 3)},
 		"large eras": {feed.NewPosition(1_780_000_000_000, 5), feed.NewPosition(1_780_000_000_001, 0), feed.NewPosition(1_780_000_000_002, 0)},
+		// The sign bit would be set.
+		"eras from 2^23": {feed.NewPosition(1<<23, 5), feed.NewPosition(1<<23+1, 0)},
 	}
 	for name, positions := range ordered {
 		t.Run(name, func(t *testing.T) {
