mesh: announce a restored upstream when it is confirmed

At the start there is no announcer yet, so the change was recorded as handled and never announced; the next heartbeat changed nothing. The class is a notification that is dropped before its receiver exists.

Tests missed it, as none restarted a daemon whose upstream was then needed as a target.

--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -160,7 +160,7 @@
 		return
 	}
 	u := health.UpstreamState{Instance: previous.Instance, StartedAt: previous.StartedAt, Version: previous.Version, Slots: previous.Slots, Leaving: previous.Leaving}
-	n.upstream.update(func(_ clock.Milli, t *health.Tracker) { t.Restore(u) })
+	n.upstream.restore(u)
 }
 
 func (n *Node) identity() link.Identity {
--- a/internal/node/mesh/upstream.go
+++ b/internal/node/mesh/upstream.go
@@ -78,6 +78,18 @@
 	}
 }
 
+// restore restores the state of the upstream that an earlier daemon announced. An instance
+// that is not known yet is announced when it is confirmed, and not before.
+func (u *upstream) restore(s health.UpstreamState) {
+	if !u.hasInstance() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.tracker.Restore(s)
+		return
+	}
+	u.update(func(_ clock.Milli, t *health.Tracker) { t.Restore(s) })
+}
+
 // applyStateLocked applies the tracker's state to the dispatcher and logs a change. It
 // reports whether peers need the change; a lost or regained connection is not one. The
 // caller holds the lock.
