peers: keep the record of a leaving upstream for later daemons

The peer returned the record of the earlier daemon only to the request that replaced it. When the new record arrived on another way first, in the reply to a request of its own, the earlier one was dropped.

The table now keeps the last record in which the upstream was leaving, and a peer returns it as long as the successor does not say the same of that instance. A daemon admits no call before a peer has replied, for 0.5 s at most.

--- a/internal/fleet/peers/table.go
+++ b/internal/fleet/peers/table.go
@@ -24,13 +24,16 @@
 
 	mu      sync.Mutex
 	records map[string]Record
+	// left has, for each daemon, the latest record of an earlier daemon at its address whose
+	// upstream was leaving.
+	left map[string]Record
 	// linked has the ids of the daemons with an open link, and of this one.
 	linked map[string]bool
 }
 
 // New returns an empty table for the daemon with the peer address self.
 func New(self string) *Table {
-	t := &Table{records: make(map[string]Record), linked: map[string]bool{self: true}}
+	t := &Table{records: make(map[string]Record), left: make(map[string]Record), linked: map[string]bool{self: true}}
 	t.current.Store(&snapshot{})
 	return t
 }
@@ -46,6 +49,9 @@
 		if r.ID == "" || known && !r.Supersedes(&old) {
 			continue
 		}
+		if old.Leaving && old.Incarnation < r.Incarnation {
+			t.left[r.ID] = old
+		}
 		t.records[r.ID] = r
 		accepted = append(accepted, r)
 	}
@@ -80,6 +86,16 @@
 	return r, ok
 }
 
+// Predecessor returns the record of an earlier daemon at the address of r in which the
+// upstream was leaving, if r does not say so of the same instance or has none yet.
+func (t *Table) Predecessor(r Record) (Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old, ok := t.left[r.ID]
+	same := r.Instance == "" || r.Instance == old.Instance && r.StartedAt == old.StartedAt
+	return old, ok && old.Incarnation < r.Incarnation && same && !r.Leaving
+}
+
 // Records returns the newest record of each daemon, sorted by id. The caller must
 // not modify the slice.
 func (t *Table) Records() []Record {
--- a/internal/fleet/peers/table_test.go
+++ b/internal/fleet/peers/table_test.go
@@ -68,3 +68,42 @@
 	b.Merge(newRecord("b", 1, 2))
 	g.Expect(a.Hash()).NotTo(Equal(b.Hash()))
 }
+
+// Guards against a restarted daemon that is not told that its upstream was leaving, whichever
+// way and how often the records of its successors arrive, and against one that is told so of
+// another upstream.
+func TestPredecessor(t *testing.T) {
+	leaving := modify(newRecord("b", 1, 2), func(r *peers.Record) { r.Leaving = true })
+	unknown := modify(newRecord("b", 2, 1), func(r *peers.Record) { r.Instance = "" })
+	other := modify(newRecord("b", 2, 1), func(r *peers.Record) { r.Instance = "v" })
+	restarted := modify(newRecord("b", 2, 1), func(r *peers.Record) { r.StartedAt = 7 })
+	tests := map[string]struct {
+		merge []peers.Record
+		asked peers.Record
+		want  bool
+	}{
+		"no upstream yet":            {[]peers.Record{leaving, unknown}, unknown, true},
+		"says that it is ready":      {[]peers.Record{leaving, newRecord("b", 2, 1)}, newRecord("b", 2, 1), true},
+		"restarted twice":            {[]peers.Record{leaving, unknown, newRecord("b", 3, 1)}, newRecord("b", 3, 1), true},
+		"has it":                     {[]peers.Record{leaving, unknown}, modify(newRecord("b", 2, 2), func(r *peers.Record) { r.Leaving = true }), false},
+		"another instance":           {[]peers.Record{leaving, other}, other, false},
+		"later start, same id":       {[]peers.Record{leaving, restarted}, restarted, false},
+		"was not leaving":            {[]peers.Record{newRecord("b", 1, 2), unknown}, unknown, false},
+		"the daemon itself":          {[]peers.Record{leaving}, newRecord("b", 1, 1), false},
+		"only the successor's known": {[]peers.Record{unknown}, unknown, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			tab := peers.New("a")
+			for _, r := range tt.merge {
+				tab.Merge(r)
+			}
+			got, ok := tab.Predecessor(tt.asked)
+			g.Expect(ok).To(Equal(tt.want))
+			if ok {
+				g.Expect(got).To(Equal(leaving))
+			}
+		})
+	}
+}
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -179,6 +179,7 @@
 	}
 	n.sync.puller.pull = n.sync.syncWith
 	n.sync.onPredecessor = n.restoreUpstream
+	n.sync.onReply = func() { n.upstream.peerReplied.Store(true) }
 	n.watch.notify = n.sync.syncWithEach
 	n.announcer.onChange = func() { go (&recordPush{sync: n.sync}).run() }
 	n.registry.Subscribe(func(*order.ActiveSet) { n.watch.ordersChanged() })
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -48,6 +48,8 @@
 	moves     *moveTracker
 	view      *storeView
 	ownRecord func() peers.Record
+	// onReply is called after the reply of a peer was applied.
+	onReply func()
 	// onPredecessor receives the record of an earlier daemon at the own address, as a peer
 	// last had it.
 	onPredecessor func(peers.Record)
@@ -131,6 +133,7 @@
 	}
 	s.view.observe(id, reply.GetStore())
 	s.applyReply(reply)
+	s.onReply()
 }
 
 // applyReply applies the state that a peer returned.
@@ -144,8 +147,8 @@
 	}
 }
 
-// mergePeer merges a record of a daemon. That of an earlier daemon at the own address is only
-// of use for the state of the upstream.
+// mergePeer merges a record of a daemon. That of an earlier daemon at the own address says
+// whether the upstream is leaving; the store may have lost it.
 func (s *stateSync) mergePeer(r peers.Record) {
 	self := s.ownRecord()
 	if r.ID == self.ID && r.Incarnation < self.Incarnation {
@@ -191,7 +194,8 @@
 	if err := proto.Unmarshal(payload, req); err != nil {
 		return nil, err
 	}
-	predecessor, restarted := s.mergeSender(peers.Decode(req.GetSelf()))
+	sender := peers.Decode(req.GetSelf())
+	s.table.Merge(sender)
 	s.view.observe(req.GetMember(), req.GetStore())
 	now := s.clock.Now()
 	if s.lacksOrders(now, req) {
@@ -204,8 +208,8 @@
 			reply.Peers = append(reply.Peers, r.Encode())
 		}
 	}
-	if restarted {
-		reply.Peers = append(reply.Peers, predecessor.Encode())
+	if old, ok := s.table.Predecessor(sender); ok {
+		reply.Peers = append(reply.Peers, old.Encode())
 	}
 	if req.GetOrdersEnd() < reply.GetOrdersEnd() || s.ordersDiffer(req) {
 		s.addOrders(reply)
@@ -213,14 +217,6 @@
 	return proto.Marshal(reply)
 }
 
-// mergeSender merges the record of a daemon. If it replaces that of an earlier daemon at the
-// same address, mergeSender returns the earlier one: the store may have lost it.
-func (s *stateSync) mergeSender(r peers.Record) (predecessor peers.Record, restarted bool) {
-	old, known := s.table.Lookup(r.ID)
-	merged := s.table.Merge(r)
-	return old, known && len(merged) > 0 && old.Incarnation < r.Incarnation
-}
-
 // ordersDiffer reports whether the orders of a peer differ from the own ones at the same end,
 // as after a restore of the store.
 func (s *stateSync) ordersDiffer(req *wire.ShareRequest) bool {
--- a/internal/node/mesh/upstream.go
+++ b/internal/node/mesh/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -20,7 +21,7 @@
 	// stated rate.
 	coldOverageMargin = 0.1
 	// noticeTimeout limits how long an instance gets no calls because it has not responded
-	// to a health check yet.
+	// to a health check yet, or no peer to the daemon.
 	noticeTimeout = 500 * clock.Millisecond
 )
 
@@ -42,6 +43,9 @@
 	// instanceSince is when the instance became known. lastNotice is its latest notice.
 	instanceSince clock.Milli
 	lastNotice    call.Notice
+	// peerReplied is set once a peer has replied to this daemon. A peer returns the record
+	// of the earlier daemon with its first reply.
+	peerReplied atomic.Bool
 	// checkRequested triggers a health check, for example when calls are queued because the
 	// VM is slow.
 	checkRequested chan struct{}
@@ -148,12 +152,14 @@
 	}
 }
 
-// awaitsNotice reports whether the instance has not responded since it became known, so that
-// it may be leaving or have a rate limit. An earlier daemon may have had this state.
+// awaitsNotice reports whether it is too early to say that the instance is not leaving and has
+// no rate limit: it has not responded since it became known, or no peer has said what it has of
+// an earlier daemon.
 func (u *upstream) awaitsNotice() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.lastNotice.Instance == "" && u.service().HealthPath != "" && u.clock.Now()-u.instanceSince < noticeTimeout
+	complete := u.lastNotice.Instance != "" && u.peerReplied.Load()
+	return !complete && u.service().HealthPath != "" && u.clock.Now()-u.instanceSince < noticeTimeout
 }
 
 // instance returns the id of the instance that calls are meant for.
