--- a/internal/conf/order/restore.go
+++ b/internal/conf/order/restore.go
@@ -61,7 +61,7 @@
 }
 
 // repeatRecord replaces a record by one of a later era with the same content. A version move
-// gets the new position and goes on. It reports whether subscribers need the change. The
+// gets the new position and continues. It reports whether subscribers need the change. The
 // caller holds the lock.
 func (reg *Registry) repeatRecord(r feed.Item) bool {
 	reg.records[r.Key] = r
--- a/internal/fleet/peers/table_test.go
+++ b/internal/fleet/peers/table_test.go
@@ -69,9 +69,9 @@
 	g.Expect(a.Hash()).NotTo(Equal(b.Hash()))
 }
 
-// Guards against a restarted daemon that is not told that its upstream was leaving, whichever
-// way and how often the records of its successors arrive, and against one that is told so of
-// another upstream.
+// Guards against a restarted daemon that does not receive the record in which its upstream was
+// leaving, in whatever order the records of its successors arrive, or receives that of another
+// upstream.
 func TestPredecessor(t *testing.T) {
 	leaving := modify(newRecord("b", 1, 2), func(r *peers.Record) { r.Leaving = true })
 	unknown := modify(newRecord("b", 2, 1), func(r *peers.Record) { r.Instance = "" })
