watch: read the store when no watcher sends notices

What callers would see: a change is late (404 for a route that was added) when all daemons that follow the store lose power or freeze at once. Their links show that only after up to 1.9 s (keep-alive 700 ms, write time-out 1200 ms), then duties pass on; the users' bound is 2 s in all.

Change: watchers, and relays that hear from one, send a notice every 400 ms; it has the end and hash of their directives, so it also repairs a lost notification. A daemon without a notice for 1 s reads the store itself and sends a notice to its data centre.

--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -171,7 +171,7 @@
 func (n *Node) buildServices() {
 	p := n.platform
 	n.orderFollower = feed.NewFollower(n.store, p.Topics().Directives, n.registry, n.log, feed.WithIdleStart(),
-		feed.WithReadWait(func() clock.Milli { return n.watch.readWait() }), feed.WithReadHook(func() { n.watch.view.recordRead(0) }))
+		feed.WithReadWait(func() clock.Milli { return n.watch.readWait() }), feed.WithReadHook(func() { n.watch.recordRead() }))
 	n.watch = newStoreWatch(n)
 	n.sync = &stateSync{
 		clock: n.clock, log: n.log, pool: n.pool, table: n.table, registry: n.registry, moves: n.moves,
@@ -181,6 +181,8 @@
 	n.sync.onPredecessor = n.restoreUpstream
 	n.sync.onReply = func() { n.upstream.peerReplied.Store(true) }
 	n.watch.notify = n.sync.syncWithEach
+	n.watch.pullIfBehind = n.sync.pullIfBehind
+	n.watch.sendNotice = (&noticeSender{sync: n.sync}).send
 	n.announcer.onChange = func() { go (&recordPush{sync: n.sync}).run() }
 	n.registry.Subscribe(func(*order.ActiveSet) { n.watch.ordersChanged() })
 	n.moves.notifyPeers = func() { n.sync.syncWithAll(context.Background()) }
@@ -190,7 +192,8 @@
 	n.links.onConnect = n.sync.syncWith
 	n.peerServer = &link.SupervisedServer{Server: link.NewServer(n.identity(), n.clock,
 		link.WithLogger(n.log), link.WithStreamHandler(n.guard.HandleStream), link.WithPeerHandler(n.links.handlePeer),
-		link.WithControlHandler(controlShare, n.sync.handleRequest), link.WithControlHandler(controlTallies, n.reporter.handleReport))}
+		link.WithControlHandler(controlShare, n.sync.handleRequest), link.WithControlHandler(controlTallies, n.reporter.handleReport),
+		link.WithControlHandler(controlWatch, n.watch.handleNotice))}
 	link.ShareSessions(n.pool, n.peerServer.Server)
 	pipeline := pipe.New(pipe.WithRepeatable(n.entry.MayRepeat), pipe.WithStopping(n.lifecycle.stopping.Load))
 	n.callerServer = newServer(alice.New(pipeline.Middleware).Then(n.entry))
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -198,9 +198,7 @@
 	s.table.Merge(sender)
 	s.view.observe(req.GetMember(), req.GetStore())
 	now := s.clock.Now()
-	if s.lacksOrders(now, req) {
-		s.puller.request(req.GetMember())
-	}
+	s.pullIfBehind(now, req.GetMember(), orderState{end: feed.Position(req.GetOrdersEnd()), hash: req.GetOrdersHash()})
 	s.moves.merge(now, req.GetMoves())
 	reply := &wire.ShareReply{OrdersEnd: int64(s.registry.End()), Moves: s.moves.encode(now), Store: s.view.encode()}
 	if req.GetPeersHash() != s.table.Hash() {
@@ -211,26 +209,36 @@
 	if old, ok := s.table.Predecessor(sender); ok {
 		reply.Peers = append(reply.Peers, old.Encode())
 	}
-	if req.GetOrdersEnd() < reply.GetOrdersEnd() || s.ordersDiffer(req) {
+	if req.GetOrdersEnd() < reply.GetOrdersEnd() || s.differs(orderState{end: feed.Position(req.GetOrdersEnd()), hash: req.GetOrdersHash()}) {
 		s.addOrders(reply)
 	}
 	return proto.Marshal(reply)
 }
 
-// ordersDiffer reports whether the orders of a peer differ from the own ones at the same end,
-// as after a restore of the store.
-func (s *stateSync) ordersDiffer(req *wire.ShareRequest) bool {
-	return feed.Position(req.GetOrdersEnd()) == s.registry.End() && req.GetOrdersHash() != 0 && req.GetOrdersHash() != s.registry.Hash()
+// orderState summarises the orders of a daemon.
+type orderState struct {
+	end  feed.Position
+	hash uint64
 }
 
-// lacksOrders reports whether a peer has orders to pull. Those that differ at the same end may
-// do so until both have settled, so they are not pulled at each request.
-func (s *stateSync) lacksOrders(now clock.Milli, req *wire.ShareRequest) bool {
-	if feed.Position(req.GetOrdersEnd()) > s.registry.End() {
-		return true
-	}
+// differs reports whether the orders of a peer differ from the own ones at the same end, as
+// after a restore of the store.
+func (s *stateSync) differs(peer orderState) bool {
+	return peer.end == s.registry.End() && peer.hash != 0 && peer.hash != s.registry.Hash()
+}
+
+// pullIfBehind gets the orders of a peer that has newer ones. Those that differ at the same
+// end may do so until both have settled, so they are not pulled at each message.
+func (s *stateSync) pullIfBehind(now clock.Milli, id string, peer orderState) {
 	last := clock.Milli(s.lastMergeAt.Load())
-	return s.ordersDiffer(req) && now-last >= mergeInterval && s.lastMergeAt.CompareAndSwap(int64(last), int64(now))
+	mergeDue := now-last >= mergeInterval
+	switch {
+	case peer.end > s.registry.End():
+	case s.differs(peer) && mergeDue && s.lastMergeAt.CompareAndSwap(int64(last), int64(now)):
+	default:
+		return
+	}
+	s.puller.request(id)
 }
 
 // addOrders adds all orders to a reply, or only their end if they are too large.
--- a/internal/node/mesh/storewatch.go
+++ b/internal/node/mesh/storewatch.go
@@ -61,6 +61,10 @@
 	view          *storeView
 	// notify synchronises with peers, which compare the offset of the orders.
 	notify func(ctx context.Context, ids []string)
+	// sendNotice sends notices to peers.
+	sendNotice func(ctx context.Context, ids []string, silence clock.Milli)
+	// pullIfBehind gets the orders of a peer that has newer ones.
+	pullIfBehind func(now clock.Milli, id string, peer orderState)
 	// changed receives a value after the orders changed.
 	changed chan struct{}
 
@@ -70,8 +74,14 @@
 	nextDiscoverAt clock.Milli
 	// behindSince is since when the follower has lacked records that peers have.
 	behindSince clock.Milli
+	// nextNoticeAt is when the next notices are due.
+	nextNoticeAt clock.Milli
+	// hasRead is set after a read by this daemon that is not a watcher, until it has sent
+	// notices.
+	hasRead atomic.Bool
 
 	mu       sync.Mutex
+	contact  watch.Contact
 	duties   watch.Duties
 	watching bool
 }
@@ -82,12 +92,14 @@
 		delay = firstWatchDelay
 	}
 	now := n.clock.Now()
-	return &storeWatch{
+	s := &storeWatch{
 		clock: n.clock, log: n.log, self: n.announcer.ownRecord(), table: n.table, registry: n.registry,
 		orderFollower: n.orderFollower, peerFollower: n.peerFollower, announcer: n.announcer,
 		view: newStoreView(n.self.ID, n.clock), startAt: now + delay, changed: make(chan struct{}, 1),
 		notify: func(context.Context, []string) {},
 	}
+	s.contact.Hear(s.startAt)
+	return s
 }
 
 // Serve implements suture.Service.
@@ -110,6 +122,7 @@
 			if s.clock.Now() >= s.startAt {
 				s.update(ctx)
 				s.restartIfBehind()
+				s.sendNotices(ctx, s.clock.Now())
 			}
 		}
 	}
@@ -172,8 +185,12 @@
 	}
 	s.orderFollower.SetIdle(!watching)
 	s.peerFollower.SetIdle(!watching)
-	if !watching && s.poll.Due(now, age, len(linked), rand.Float64()) {
-		s.log.Warn().Float64("store_age_ms", float64(age)).Msg("store_polled")
+	if watching {
+		return
+	}
+	s.pollIfSilent(now, rand.Float64())
+	if s.poll.Due(now, age, len(linked), rand.Float64()) {
+		s.log.Warn().Str("reason", "store_state_old").Float64("store_age_ms", float64(age)).Msg("store_polled")
 		s.orderFollower.Poll()
 	}
 }
@@ -226,23 +243,36 @@
 // notifyPeers notifies peers of new orders if this daemon is a watcher or a relay: those of
 // its own data centre, and the relays of the others, which notify theirs.
 func (s *storeWatch) notifyPeers(ctx context.Context) {
-	s.mu.Lock()
-	relays, watching := s.duties.Relays, s.watching
-	s.mu.Unlock()
-	if !watching && !slices.Contains(relays, s.self.ID) {
-		return
+	if s.isWatching() || s.isRelay() {
+		s.notify(ctx, s.idsToNotify())
 	}
-	s.notify(ctx, s.idsToNotify())
 }
 
-// idsToNotify returns the daemons of the own data centre and the relays of the others.
+func (s *storeWatch) isRelay() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.duties.Relays, s.self.ID)
+}
+
+// idsToNotify returns the other daemons of the own data centre and the relays of the others.
 func (s *storeWatch) idsToNotify() []string {
 	s.mu.Lock()
 	relays := s.duties.Relays
 	s.mu.Unlock()
+	return s.linkedIDs(func(r *peers.Record) bool { return r.Centre == s.self.Centre || slices.Contains(relays, r.ID) })
+}
+
+// centreIDs returns the other daemons of the own data centre.
+func (s *storeWatch) centreIDs() []string {
+	return s.linkedIDs(func(r *peers.Record) bool { return r.Centre == s.self.Centre })
+}
+
+// linkedIDs returns the ids of the other linked daemons that match.
+func (s *storeWatch) linkedIDs(match func(*peers.Record) bool) []string {
 	var ids []string
-	for _, r := range s.table.Linked() {
-		if r.ID != s.self.ID && (r.Centre == s.self.Centre || slices.Contains(relays, r.ID)) {
+	linked := s.table.Linked()
+	for i := range linked {
+		if r := &linked[i]; r.ID != s.self.ID && match(r) {
 			ids = append(ids, r.ID)
 		}
 	}
