order: keep the need of a full read after a restore until it is done

What callers would see: an evacuation that a restored store has lost stays in force, so the upstreams of a data centre get no calls.

Cause: the follower of one daemon scheduled the second full read, which shows what was lost, when it noticed the restore itself. A daemon that knew of the restore from a peer and then followed the store for the first time, or that started after the restore and got the evacuation from a peer, scheduled none; a full read that was older than a peer's records was dropped without another. State of the directives was owned by whoever read them.

Change: the registry owns the need and ends it with a full read of the store after the operators have written again; whoever follows the store then reads.

Evidence: TestLostEvacuationEndsAfterRestore, on the code before: two of its three cases failed (the evacuation was in force after 3.5 s); now all pass. TestKeysAreReadAgainAfterRestore now drives the need from its sink, with the same bounds.

--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -30,8 +30,8 @@
 	// may accept calls that it never answers, even after it has recovered. A
 	// waiting read sent in that state would detect neither fault nor recovery.
 	immediateReadTimeout = 800 * clock.Millisecond
-	// rereadMargin is added to RestoreSettleTime, so that the sink has settled too.
-	rereadMargin = 100 * clock.Millisecond
+	// minFullReadInterval is the shortest time between full reads that the sink needs.
+	minFullReadInterval = clock.Second
 )
 
 // Sink receives the items of a topic from a Follower, one call at a time.
@@ -44,6 +44,14 @@
 	Apply(items []Item, end Position)
 }
 
+// FullReadNeeder is implemented by sinks that at times need all keys to be read again.
+type FullReadNeeder interface {
+	// FullReadIn returns the time until Replace must be called, and whether it must. The
+	// need ends with a call of Replace or otherwise, so it passes to whoever follows the
+	// topic then.
+	FullReadIn() (clock.Milli, bool)
+}
+
 // Follower reads a topic continuously and passes its items to a sink.
 type Follower struct {
 	store      Store
@@ -66,11 +74,9 @@
 	wake   chan struct{}
 	// position is where the next read starts.
 	position atomic.Int64
-	// restored is set between the first sign of a restore and the next full read.
-	restored bool
-	// rereadAt is when all keys are read again after a restore, zero if never.
-	rereadAt time.Time
-	onRead   func()
+	// fullReadAt is the time of the last full read.
+	fullReadAt time.Time
+	onRead     func()
 }
 
 // Option configures a Follower in NewFollower.
@@ -209,8 +215,8 @@
 			return ctx.Err()
 		}
 		f.polled.Store(false)
-		if f.isRereadDue() {
-			f.rereadAt, end = time.Time{}, PositionNone
+		if in, ok := f.fullReadIn(); ok && in <= 0 {
+			end = PositionNone
 		}
 		next, err := f.readOnce(ctx, end)
 		switch {
@@ -224,7 +230,7 @@
 			f.polled.Store(true)
 		case errors.Is(err, ErrRestored):
 			f.log.Warn().Str("topic", f.topic).Stringer("from", end).Msg("store_restored")
-			end, f.restored = PositionNone, true
+			end = PositionNone
 			f.polled.Store(true)
 		case ctx.Err() != nil:
 		default:
@@ -246,9 +252,7 @@
 		f.setOnline(true, nil)
 		f.sink.Replace(b.Items, b.End)
 		f.onRead()
-		if f.restored {
-			f.restored, f.rereadAt = false, time.Now().Add((RestoreSettleTime + rereadMargin).Duration())
-		}
+		f.fullReadAt = time.Now()
 		return b.End, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -280,18 +284,22 @@
 	return f.store.Read(ctx, f.topic, from, 0)
 }
 
-// isRereadDue reports whether all keys have to be read again. What operators write again
-// after a restore may be missing in the first full read, and then only a second one shows
-// which keys were removed meanwhile.
-func (f *Follower) isRereadDue() bool {
-	return !f.rereadAt.IsZero() && !time.Now().Before(f.rereadAt)
+// fullReadIn returns the time until the sink needs a full read, and whether it needs one.
+func (f *Follower) fullReadIn() (clock.Milli, bool) {
+	needer, ok := f.sink.(FullReadNeeder)
+	if !ok {
+		return 0, false
+	}
+	in, ok := needer.FullReadIn()
+	since := clock.FromDuration(time.Since(f.fullReadAt))
+	return max(0, in, minFullReadInterval-since), ok
 }
 
 // nextReadWait returns how long the next read may wait for records.
 func (f *Follower) nextReadWait() clock.Milli {
 	wait := min(maxReadWait, f.readWait())
-	if !f.rereadAt.IsZero() {
-		wait = min(wait, max(0, clock.FromDuration(time.Until(f.rereadAt))))
+	if in, ok := f.fullReadIn(); ok {
+		wait = min(wait, in)
 	}
 	return wait
 }
--- a/internal/conf/feed/follow_test.go
+++ b/internal/conf/feed/follow_test.go
@@ -161,6 +161,11 @@
 func startFollower(t *testing.T, s *fakeStore, opts ...feed.Option) (*feed.Follower, *sink) {
 	t.Helper()
 	out := &sink{values: map[string]string{}}
+	return startFollowerWith(t, s, out, opts...), out
+}
+
+func startFollowerWith(t *testing.T, s *fakeStore, out feed.Sink, opts ...feed.Option) *feed.Follower {
+	t.Helper()
 	f := feed.NewFollower(s, "t", out, zerolog.Nop(), opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -171,7 +176,7 @@
 			t.Errorf("follower ended: %v", err)
 		}
 	})
-	return f, out
+	return f
 }
 
 // maxRecovery limits the time from the store's return until a follower is up to
--- a/internal/conf/feed/restore_test.go
+++ b/internal/conf/feed/restore_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
 )
 
@@ -33,13 +34,38 @@
 	}
 }
 
+// restoredSink needs a full read some time after a restore, until it gets one.
+type restoredSink struct {
+	sink
+	era    int64
+	needAt time.Time
+}
+
+func (s *restoredSink) Replace(items []feed.Item, end feed.Position) {
+	s.Apply(items, end)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case end.Era() > s.era:
+		s.era, s.needAt = end.Era(), time.Now().Add(feed.RestoreSettleTime.Duration())
+	case !time.Now().Before(s.needAt):
+		s.needAt = time.Time{}
+	}
+}
+
+func (s *restoredSink) FullReadIn() (clock.Milli, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return clock.FromDuration(time.Until(s.needAt)), !s.needAt.IsZero()
+}
+
 // Guards against a key that was removed between a restore and the first read after it, and
 // that the follower keeps.
 func TestKeysAreReadAgainAfterRestore(t *testing.T) {
 	g := NewWithT(t)
 	s := newFakeStore()
 	s.add("k", "old")
-	f, _ := startFollower(t, s)
+	f := startFollowerWith(t, s, &restoredSink{sink: sink{values: map[string]string{}}})
 	g.Eventually(f.Position, time.Second).Should(Equal(feed.Position(1)))
 	s.restore()
 	g.Eventually(f.Position, maxRecovery).Should(Equal(feed.NewPosition(1, 1)))
--- a/internal/conf/order/order.go
+++ b/internal/conf/order/order.go
@@ -72,7 +72,9 @@
 	end        feed.Position
 	// settledAt is when the operators have written again what the latest restore of the
 	// store lost.
-	settledAt   clock.Milli
+	settledAt clock.Milli
+	// restored is set from a restore of the store until a full read after settledAt.
+	restored    bool
 	hash        atomic.Uint64
 	subscribers []func(*ActiveSet)
 }
@@ -143,9 +145,25 @@
 func (reg *Registry) Replace(records []feed.Item, end feed.Position) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
+	if reg.replace(records, end) && reg.isSettled() {
+		reg.restored = false
+	}
+}
+
+// ReplaceFromPeer is Replace for the newest records of all keys of a peer, which may be older
+// than what the store has after a restore.
+func (reg *Registry) ReplaceFromPeer(records []feed.Item, end feed.Position) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	reg.replace(records, end)
+}
+
+// replace reports whether the records are not older than the registry's state. The caller
+// holds the lock.
+func (reg *Registry) replace(records []feed.Item, end feed.Position) bool {
 	if end < reg.end {
 		reg.log.Info().Stringer("end", end).Stringer("known_end", reg.end).Msg("orders_stale")
-		return
+		return false
 	}
 	changed := reg.advance(end)
 	changed = reg.mergeRecords(records) || changed
@@ -155,6 +173,7 @@
 	if changed {
 		reg.publish()
 	}
+	return true
 }
 
 // Merge applies the newest records of a peer whose directives differ at the same end. This
--- a/internal/conf/order/restore.go
+++ b/internal/conf/order/restore.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
 )
 
@@ -20,6 +21,7 @@
 func (reg *Registry) advance(end feed.Position) (restored bool) {
 	restored = len(reg.records) > 0 && end.Era() > reg.end.Era()
 	if restored {
+		reg.restored = true
 		reg.settledAt = reg.clock.Now() + feed.RestoreSettleTime
 		reg.log.Warn().Stringer("end", end).Stringer("known_end", reg.end).Msg("orders_restored")
 	}
@@ -27,6 +29,14 @@
 	return restored
 }
 
+// FullReadIn implements feed.FullReadNeeder. After a restore, only a full read shows which of
+// the directives in force were lost and not written again.
+func (reg *Registry) FullReadIn() (clock.Milli, bool) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	return max(0, reg.settledAt-reg.clock.Now()), reg.restored
+}
+
 func (reg *Registry) isSettled() bool {
 	return reg.clock.Now() >= reg.settledAt
 }
@@ -39,11 +49,25 @@
 			reg.log.Info().Str("key", r.Key).Stringer("position", r.Position).Msg("order_doubtful")
 			continue
 		}
-		changed = reg.applyRecord(r) || changed
+		if reg.applyRecord(r) {
+			changed = true
+			reg.expectRestore(r)
+		}
 	}
 	return changed
 }
 
+// expectRestore makes a daemon that started after a restore treat a directive of an earlier
+// era, which a peer has in force, like one that it had in force itself. The caller holds the
+// lock.
+func (reg *Registry) expectRestore(r feed.Item) {
+	if reg.restored || r.Removed || r.Position.Era() >= reg.end.Era() || reg.directives[r.Key].Table != nil {
+		return
+	}
+	reg.restored = true
+	reg.settledAt = reg.clock.Now() + feed.RestoreSettleTime
+}
+
 // isDoubtful reports whether a record may be an old copy of a key whose later record was
 // lost in a restore: it is not after that one, by offset, and operators may not have written
 // again yet. The caller holds the lock.
--- a/internal/conf/order/restore_test.go
+++ b/internal/conf/order/restore_test.go
@@ -1,7 +1,9 @@
 package order_test
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
@@ -107,3 +109,62 @@
 	g.Expect(started.Current().CentresOut).To(BeEmpty())
 	g.Expect(started.Hash()).To(Equal(running.Hash()))
 }
+
+// copiedStore is a store that was restored from a copy with a configuration only.
+type copiedStore struct{}
+
+func (copiedStore) Newest(context.Context, string) (feed.Batch, error) {
+	return feed.Batch{Items: []feed.Item{record("config", "1", at(2, 0))}, End: at(2, 1)}, nil
+}
+
+func (copiedStore) Read(ctx context.Context, _ string, from feed.Position, wait clock.Milli) (feed.Batch, error) {
+	if from.Era() < 2 {
+		return feed.Batch{}, feed.ErrRestored
+	}
+	clock.Sleep(ctx, wait)
+	return feed.Batch{End: from}, ctx.Err()
+}
+
+func (copiedStore) Append(context.Context, string, feed.Item, feed.Position) (feed.Position, error) {
+	return 0, feed.ErrRefused
+}
+
+// Guards against an evacuation that a restored store has lost and that stays in force,
+// because another daemon follows the store when it can be seen.
+func TestLostEvacuationEndsAfterRestore(t *testing.T) {
+	lost := []feed.Item{record("config", "1", at(1, 0)), record("c1", "out", at(1, 1))}
+	tests := map[string]struct {
+		prepare func(reg *order.Registry)
+		start   feed.Position
+	}{
+		"daemon followed the store before": {func(reg *order.Registry) { reg.Apply(lost, at(1, 2)) }, at(1, 2)},
+		"restore known from a peer, first read of the store": {func(reg *order.Registry) {
+			reg.Apply(lost, at(1, 2))
+			reg.ReplaceFromPeer(lost, at(2, 1))
+		}, feed.PositionNone},
+		"daemon started after the restore": {func(reg *order.Registry) {
+			reg.Replace(lost[:1], at(2, 1))
+			reg.Merge(lost)
+		}, at(2, 1)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			reg := order.NewRegistry(decode, clock.NewReal(), zerolog.Nop())
+			tt.prepare(reg)
+			g.Expect(reg.Current().CentresOut).To(HaveKey("c1"))
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			f := feed.NewFollower(copiedStore{}, "t", reg, zerolog.Nop(), feed.WithStart(tt.start))
+			go func() { done <- f.Serve(ctx) }()
+			t.Cleanup(func() {
+				cancel()
+				g.Expect(<-done).To(MatchError(context.Canceled))
+			})
+			centresOut := func() map[string]bool { return reg.Current().CentresOut }
+			g.Consistently(centresOut, feed.RestoreSettleTime.Duration()*3/4).Should(HaveKey("c1"))
+			g.Eventually(centresOut, 2*time.Second).ShouldNot(HaveKey("c1"))
+		})
+	}
+}
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -168,7 +168,7 @@
 	case end == ownEnd:
 		s.registry.Merge(decodeOrders(r.GetOrders()))
 	case r.GetOrdersWhole():
-		s.registry.Replace(withoutRemoved(decodeOrders(r.GetOrders())), end)
+		s.registry.ReplaceFromPeer(withoutRemoved(decodeOrders(r.GetOrders())), end)
 	default:
 		s.pollOrders()
 	}
