mesh: get directives from a peer in parts if the store does not deliver them

What callers see: 404 for a route that was added, at daemons that the store turns away or does not answer, for as long as that lasts, if the directives are larger than a message between daemons (128 KB). The same at a daemon that starts on the copy of a restored store.

Cause: a peer that had newer directives of that size sent only their end, and the daemon read them from the store. With the same end and other content, as after a restore, it did nothing.

TestLargeConfiguration with two new cases and TestLargeConfigurationAfterRestore failed before and pass now.

Change: a daemon asks the store first, and the peer after 400 ms, at once if the last read failed or the ends are the same.

--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -175,9 +175,10 @@
 	n.watch = newStoreWatch(n)
 	n.sync = &stateSync{
 		clock: n.clock, log: n.log, pool: n.pool, table: n.table, registry: n.registry, moves: n.moves,
-		view: n.watch.view, ownRecord: n.announcer.ownRecord, pollOrders: n.orderFollower.Poll,
+		view: n.watch.view, ownRecord: n.announcer.ownRecord, pollOrders: n.orderFollower.Poll, storeFailing: n.orderFollower.Failing,
 	}
 	n.sync.puller.pull = n.sync.syncWith
+	n.sync.transfer = newOrderTransfer(n.sync)
 	n.sync.onPredecessor = n.restoreUpstream
 	n.sync.onReply = func() { n.upstream.peerReplied.Store(true) }
 	n.watch.notify = n.sync.syncWithEach
@@ -193,7 +194,7 @@
 	n.peerServer = &link.SupervisedServer{Server: link.NewServer(n.identity(), n.clock,
 		link.WithLogger(n.log), link.WithStreamHandler(n.guard.HandleStream), link.WithPeerHandler(n.links.handlePeer),
 		link.WithControlHandler(controlShare, n.sync.handleRequest), link.WithControlHandler(controlTallies, n.reporter.handleReport),
-		link.WithControlHandler(controlWatch, n.watch.handleNotice))}
+		link.WithControlHandler(controlWatch, n.watch.handleNotice), link.WithControlHandler(controlOrders, n.sync.transfer.handleRequest))}
 	link.ShareSessions(n.pool, n.peerServer.Server)
 	pipeline := pipe.New(pipe.WithRepeatable(n.entry.MayRepeat), pipe.WithStopping(n.lifecycle.stopping.Load))
 	n.callerServer = newServer(alice.New(pipeline.Middleware).Then(n.entry))
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -26,7 +26,7 @@
 	// daemon, from which the store counts as unavailable.
 	storeSilentAfter = 6 * clock.Second
 	// maxSharedOrderBytes is the size of the largest set of orders that is sent to a peer.
-	// A larger one may not fit a frame, so the peer reads it from the store.
+	// A larger one may not fit a frame, so the peer reads it from the store or in parts.
 	maxSharedOrderBytes = link.MaxFrameBytes / 2
 	// farSyncShare is the share of synchronisations with other data centres.
 	farSyncShare = 0.25
@@ -55,7 +55,11 @@
 	onPredecessor func(peers.Record)
 	// pollOrders makes this daemon read the orders from the store once.
 	pollOrders func()
-	puller     orderPuller
+	// storeFailing reports whether the last read of the orders failed.
+	storeFailing func() bool
+	puller       orderPuller
+	// transfer gets orders from a peer that are too large for a reply.
+	transfer *orderTransfer
 	// lastMergeAt is when orders that differ at the same end were last pulled, in ms.
 	lastMergeAt atomic.Int64
 }
@@ -132,15 +136,15 @@
 		return
 	}
 	s.view.observe(id, reply.GetStore())
-	s.applyReply(reply)
+	s.applyReply(id, reply)
 	s.onReply()
 }
 
 // applyReply applies the state that a peer returned.
-func (s *stateSync) applyReply(r *wire.ShareReply) {
+func (s *stateSync) applyReply(id string, r *wire.ShareReply) {
 	// Orders must be applied before records: an upstream of a new version must
 	// not get calls before the order of its move is in force.
-	s.applyOrders(r)
+	s.applyOrders(id, r)
 	s.moves.merge(s.clock.Now(), r.GetMoves())
 	for _, p := range r.GetPeers() {
 		s.mergePeer(peers.Decode(p))
@@ -158,21 +162,38 @@
 	s.table.Merge(r)
 }
 
-// applyOrders applies the orders that a peer returned, if they are not older than the own
-// ones.
-func (s *stateSync) applyOrders(r *wire.ShareReply) {
+// applyOrders applies the orders that a peer returned, or gets them if they are too large
+// for its reply.
+func (s *stateSync) applyOrders(id string, r *wire.ShareReply) {
 	end, ownEnd := feed.Position(r.GetOrdersEnd()), s.registry.End()
 	switch {
-	case end < ownEnd, end == ownEnd && !r.GetOrdersWhole():
+	case r.GetOrdersWhole():
+		s.applyWholeOrders(r)
+		return
+	case end > ownEnd:
+		s.pollOrders()
+		s.transfer.requestUnlessRead(id, end)
+	case end == ownEnd && r.GetOrdersDiffer():
+		// The store can't resolve this: it was restored from a copy.
+		s.transfer.request(id)
+	default:
+		return
+	}
+	s.log.Info().Bool("whole", false).Stringer("end", end).Stringer("own_end", ownEnd).Msg("orders_from_peer")
+}
+
+// applyWholeOrders applies all orders of a peer, if they are not older than the own ones.
+func (s *stateSync) applyWholeOrders(r *wire.ShareReply) {
+	end, ownEnd := feed.Position(r.GetOrdersEnd()), s.registry.End()
+	switch {
+	case end < ownEnd:
 		return
 	case end == ownEnd:
 		s.registry.Merge(decodeOrders(r.GetOrders()))
-	case r.GetOrdersWhole():
-		s.registry.ReplaceFromPeer(withoutRemoved(decodeOrders(r.GetOrders())), end)
 	default:
-		s.pollOrders()
+		s.registry.ReplaceFromPeer(withoutRemoved(decodeOrders(r.GetOrders())), end)
 	}
-	s.log.Info().Bool("whole", r.GetOrdersWhole()).Stringer("end", end).Stringer("own_end", ownEnd).Msg("orders_from_peer")
+	s.log.Info().Bool("whole", true).Stringer("end", end).Stringer("own_end", ownEnd).Msg("orders_from_peer")
 }
 
 func decodeOrders(in []*wire.OrderRecord) []feed.Item {
@@ -241,19 +262,26 @@
 	s.puller.request(id)
 }
 
-// addOrders adds all orders to a reply, or only their end if they are too large.
+// addOrders adds all orders to a reply, or says only that there are some if they are too
+// large.
 func (s *stateSync) addOrders(reply *wire.ShareReply) {
-	records, end := s.registry.Records()
-	reply.OrdersEnd = int64(end)
-	size := 0
-	orders := make([]*wire.OrderRecord, 0, len(records))
+	all, size := encodeOrders(s.registry)
+	reply.OrdersEnd = all.GetOrdersEnd()
+	reply.OrdersDiffer = true
+	if size <= maxSharedOrderBytes {
+		reply.OrdersWhole, reply.Orders = true, all.GetOrders()
+	}
+}
+
+// encodeOrders returns all orders and the size of their keys and values.
+func encodeOrders(reg *order.Registry) (all *wire.ShareReply, size int) {
+	records, end := reg.Records()
+	all = &wire.ShareReply{OrdersEnd: int64(end), OrdersWhole: true}
 	for _, r := range records {
 		size += len(r.Key) + len(r.Value)
-		orders = append(orders, &wire.OrderRecord{Key: r.Key, Value: r.Value, Offset: int64(r.Position), Removed: r.Removed})
-	}
-	if size <= maxSharedOrderBytes {
-		reply.OrdersWhole, reply.Orders = true, orders
+		all.Orders = append(all.Orders, &wire.OrderRecord{Key: r.Key, Value: r.Value, Offset: int64(r.Position), Removed: r.Removed})
 	}
+	return all, size
 }
 
 // syncWithAll starts a synchronisation with all linked peers and does not wait for it.
--- a/internal/node/mesh/tuning.go
+++ b/internal/node/mesh/tuning.go
@@ -14,6 +14,7 @@
 	controlShare   = wire.ControlKind_CONTROL_KIND_SHARE
 	controlTallies = wire.ControlKind_CONTROL_KIND_TALLIES
 	controlWatch   = wire.ControlKind_CONTROL_KIND_WATCH
+	controlOrders  = wire.ControlKind_CONTROL_KIND_ORDERS
 
 	// retryTokensPerCall is the number of retry tokens that a first attempt adds, up
 	// to maxRetryTokens. It keeps the retries of all daemons below a fifth of the
