crash: hold requests under which upstreams crash

Cause: no part of the system related the end of an upstream to the requests that ran there. A broken connection was an unknown outcome of one attempt, so an idempotent request was sent to another upstream, and the next daemon knew nothing of it. Class: a fault that follows the request, handled as a fault of the target. Evidence: in a trial that logged broken calls, the path of the deadly request was in 18 of them, no other in more than 3; all calls at the upstream broke in the same millisecond, and it refused connections then.

Ruled out as means: ejecting targets (they are sound again after seconds), a lower retry budget (clients repeat by themselves), blocking a path (good requests share the prefix), a count in the store (a call for each crash).

Change: core/crash charges a crash to the requests that ran, of those only to the ones charged most often; daemons report it to all peers at once; entries and guards hold a request after three crashes without an answer, and try it once after 20 s. docs/design.md has ownership and times.

--- a/internal/bench/inproc/proxy.go
+++ b/internal/bench/inproc/proxy.go
@@ -24,10 +24,12 @@
 // Proxy forwards TCP connections to one address and can delay, pause or reset
 // them. It is safe for concurrent use.
 type Proxy struct {
-	listener   net.Listener
+	addr       string
 	targetAddr string
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// listener is nil while the proxy is stopped.
+	listener net.Listener
 	cond     *sync.Cond
 	paused   [2]bool
 	maxDelay time.Duration
@@ -42,14 +44,13 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	p := &Proxy{listener: l, targetAddr: targetAddr, conns: make(map[*net.TCPConn]bool)}
+	p := &Proxy{addr: l.Addr().String(), listener: l, targetAddr: targetAddr, conns: make(map[*net.TCPConn]bool)}
 	p.cond = sync.NewCond(&p.mu)
 	p.wg.Add(1)
-	go p.acceptConns()
+	go p.acceptConns(l)
 	tb.Cleanup(func() {
-		_ = l.Close()
 		p.Resume()
-		p.Reset()
+		p.Stop()
 		p.wg.Wait()
 	})
 	return p
@@ -57,7 +58,33 @@
 
 // Address returns the address on which the proxy accepts connections.
 func (p *Proxy) Address() string {
-	return p.listener.Addr().String()
+	return p.addr
+}
+
+// Stop resets all connections and refuses new ones, as if the target had ended.
+func (p *Proxy) Stop() {
+	p.mu.Lock()
+	l := p.listener
+	p.listener = nil
+	p.mu.Unlock()
+	if l != nil {
+		_ = l.Close()
+	}
+	p.Reset()
+}
+
+// Start accepts connections again after Stop.
+func (p *Proxy) Start() error {
+	l, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = l
+	p.wg.Add(1)
+	go p.acceptConns(l)
+	return nil
 }
 
 // Pause stops the transfer in one direction until Resume or Reset is called.
@@ -97,10 +124,10 @@
 	p.cond.Broadcast()
 }
 
-func (p *Proxy) acceptConns() {
+func (p *Proxy) acceptConns(l net.Listener) {
 	defer p.wg.Done()
 	for {
-		in, err := p.listener.Accept()
+		in, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -28,6 +28,10 @@
 	// SoftDeadline is the instant until which a response has its full value for
 	// the caller, zero if none was set.
 	SoftDeadline clock.Milli
+	// Caller is the name under which the upstream knows the caller, empty if there is none.
+	Caller string
+	// Print identifies requests that are the same to an upstream, zero for none.
+	Print uint64
 	// MayQueue allows the target to queue the call, as no other target is left.
 	// Without it, a target that can't start the call immediately refuses it.
 	MayQueue bool
@@ -60,8 +64,8 @@
 	// Limit is the current maximum of InProgress, at most Slots.
 	Limit int
 	Slots int
-	// Latency is the recent service time at the upstream, zero if none was measured: the median, or the mean
-	// without the slowdown of its VM.
+	// Latency is the recent service time at the upstream: the median, or the mean
+	// without the slowdown of its VM. Zero means that none was measured.
 	Latency clock.Milli
 	Cold    bool
 	Leaving bool
--- a/internal/core/call/enums.go
+++ b/internal/core/call/enums.go
@@ -98,4 +98,5 @@
 	ReasonHeaderTooLarge               // header_too_large
 	ReasonBodyTooLarge                 // body_too_large
 	ReasonRateLimit                    // rate_limit
+	ReasonCrashes                      // crashes
 )
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -169,6 +169,8 @@
 		return call.ReasonMayNotRepeat
 	case a.Request.Retried || a.Result.Reason == call.ReasonRetriedBelow:
 		return call.ReasonRetriedBelow
+	case a.Result.Reason == call.ReasonCrashes:
+		return call.ReasonCrashes
 	case now >= a.Request.Deadline:
 		return call.ReasonDeadline
 	case a.Request.Class == call.Background && a.Result.Outcome == call.OutcomeNotRun && refusedForLoad(a.Result.Reason):
--- a/internal/node/mesh/admission.go
+++ b/internal/node/mesh/admission.go
@@ -3,6 +3,7 @@
 import (
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/crash"
 )
 
 // checkAdmission returns why the guard must refuse a call: the upstream is unusable, its
@@ -12,6 +13,9 @@
 	if reason := n.upstream.unusableReason(); reason != call.ReasonNone {
 		return reason
 	}
+	if n.crashes.isHeld(crash.Print(r.Print)) {
+		return call.ReasonCrashes
+	}
 	if n.registry.Current().CentresOut[n.settings.Centre] {
 		return call.ReasonCentreOut
 	}
--- a/internal/node/mesh/metrics.go
+++ b/internal/node/mesh/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -9,6 +10,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/meter"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/crash"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/entry"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/guard"
 )
@@ -31,6 +33,9 @@
 
 func (n *Node) recordUpstream(s guard.Sample) {
 	n.meter.ObserveUpstreamCall(s.Failed, s.Latency)
+	if s.Status > 0 && (!s.Failed || s.Status >= http.StatusInternalServerError) {
+		n.crashes.recordAnswer(crash.Print(s.Request.Print))
+	}
 }
 
 func (n *Node) recordRefusal(r call.Reason) {
@@ -53,6 +58,7 @@
 	n.meter.AddGauge("peers_linked", func() float64 { return float64(len(n.table.LinkedIDs())) })
 	n.meter.AddGauge("upstream_usable", func() float64 { return gaugeValue(n.upstream.unusableReason() == call.ReasonNone) })
 	n.meter.AddGauge("upstream_pace_age_seconds", func() float64 { return float64(n.upstream.slowdownAge() / clock.Second) })
+	n.meter.AddGauge("requests_held", func() float64 { return float64(n.crashes.held()) })
 	n.meter.AddGauge("upstream_limited", func() float64 { return gaugeValue(n.upstream.notice().Limited) })
 	n.meter.AddGauge("upstream_limit_per_second", func() float64 { return n.upstream.notice().RateLimit })
 	n.meter.AddGauge("guard_calls_in_progress", func() float64 { return float64(n.guard.InProgress()) })
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -44,6 +44,7 @@
 	table           *peers.Table
 	registry        *order.Registry
 	moves           *moveTracker
+	crashes         *crashLog
 	upstream        *upstream
 	guard           *guard.Guard
 	entry           *entry.Entry
@@ -136,15 +137,16 @@
 		clock: n.clock, log: n.log, platform: p, addr: s.UpstreamAddr, upstream: n.upstream, service: n.ownService,
 		checkDone: make(chan struct{}),
 	}
+	n.crashes = newCrashLog(n)
 	n.guard = guard.New(n.self, s.UpstreamAddr, n.clock,
 		guard.WithLogger(n.log), guard.WithAdmitter(n.upstream), guard.WithAdmissionCheck(n.checkAdmission),
 		guard.WithNoticeHandler(n.upstream.handleNotice), guard.WithProtocol(p.UpstreamProtocol(n.upstream.instance, n.upstream.handleMisdirected)),
 		guard.WithPreAdmissionHook(n.refreshSlowdown), guard.WithIdleTimeout(upstreamIdleTimeout), guard.WithRequestErrorHandler(n.handleRequestError),
-		guard.WithSampleHandler(n.recordUpstream), guard.WithRefusalHandler(n.recordRefusal))
+		guard.WithSampleHandler(n.recordUpstream), guard.WithBreakHandler(n.crashes.handleBreak), guard.WithRefusalHandler(n.recordRefusal))
 	n.entry = entry.New(n.self, n.clock, n.pool, n.table, &rules{registry: n.registry, moves: n.moves},
 		entry.WithLogger(n.log), entry.WithProtocol(p.CallerProtocol(n.routes)), entry.WithNoTargetReason(call.ReasonNoTarget),
 		entry.WithPicker(newPicker), entry.WithRetrier(n.newRetrier), entry.WithProbeRate(0), entry.WithBodyLimits(maxBufferedBodyBytes, maxInlineBodyBytes),
-		entry.WithSummaryHandler(n.recordCall))
+		entry.WithSummaryHandler(n.recordCall), entry.WithQuarantine(n.crashes))
 	self := peers.Record{
 		ID: n.self.ID, Incarnation: n.self.Incarnation, Seq: 1,
 		Centre: s.Centre, Region: s.Region, Service: s.Service,
@@ -174,7 +176,7 @@
 		feed.WithReadWait(func() clock.Milli { return n.watch.readWait() }), feed.WithReadHook(func() { n.watch.recordRead() }))
 	n.watch = newStoreWatch(n)
 	n.sync = &stateSync{
-		clock: n.clock, log: n.log, pool: n.pool, table: n.table, registry: n.registry, moves: n.moves,
+		clock: n.clock, log: n.log, pool: n.pool, table: n.table, registry: n.registry, moves: n.moves, crashes: n.crashes,
 		view: n.watch.view, ownRecord: n.announcer.ownRecord, pollOrders: n.orderFollower.Poll, storeFailing: n.orderFollower.Failing,
 	}
 	n.sync.puller.pull = n.sync.syncWith
@@ -194,7 +196,8 @@
 	n.peerServer = &link.SupervisedServer{Server: link.NewServer(n.identity(), n.clock,
 		link.WithLogger(n.log), link.WithStreamHandler(n.guard.HandleStream), link.WithPeerHandler(n.links.handlePeer),
 		link.WithControlHandler(controlShare, n.sync.handleRequest), link.WithControlHandler(controlTallies, n.reporter.handleReport),
-		link.WithControlHandler(controlWatch, n.watch.handleNotice), link.WithControlHandler(controlOrders, n.sync.transfer.handleRequest))}
+		link.WithControlHandler(controlWatch, n.watch.handleNotice), link.WithControlHandler(controlOrders, n.sync.transfer.handleRequest),
+		link.WithControlHandler(controlCrashes, n.crashes.handleReport))}
 	link.ShareSessions(n.pool, n.peerServer.Server)
 	pipeline := pipe.New(pipe.WithRepeatable(n.entry.MayRepeat), pipe.WithStopping(n.lifecycle.stopping.Load))
 	n.callerServer = newServer(alice.New(pipeline.Middleware).Then(n.entry))
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -46,6 +46,7 @@
 	table     *peers.Table
 	registry  *order.Registry
 	moves     *moveTracker
+	crashes   *crashLog
 	view      *storeView
 	ownRecord func() peers.Record
 	// onReply is called after the reply of a peer was applied.
@@ -116,7 +117,7 @@
 	now := s.clock.Now()
 	req := &wire.ShareRequest{
 		Member: self.ID, OrdersEnd: int64(s.registry.End()), OrdersHash: s.registry.Hash(), PeersHash: s.table.Hash(), Moves: s.moves.encode(now),
-		Self: self.Encode(), Store: s.view.encode(),
+		Self: self.Encode(), Store: s.view.encode(), CrashesHash: s.crashes.hash(),
 	}
 	payload, err := proto.Marshal(req)
 	if err != nil {
@@ -146,6 +147,7 @@
 	// not get calls before the order of its move is in force.
 	s.applyOrders(id, r)
 	s.moves.merge(s.clock.Now(), r.GetMoves())
+	s.crashes.merge(r.GetCrashes())
 	for _, p := range r.GetPeers() {
 		s.mergePeer(peers.Decode(p))
 	}
@@ -227,6 +229,9 @@
 			reply.Peers = append(reply.Peers, r.Encode())
 		}
 	}
+	if req.GetCrashesHash() != s.crashes.hash() {
+		reply.Crashes = s.crashes.encode()
+	}
 	if old, ok := s.table.Predecessor(sender); ok {
 		reply.Peers = append(reply.Peers, old.Encode())
 	}
--- a/internal/path/entry/call_runner.go
+++ b/internal/path/entry/call_runner.go
@@ -59,7 +59,8 @@
 		r.end(call.OutcomeNotRun, call.ReasonBadRequest)
 		return
 	}
-	for {
+	r.setPrint()
+	for !r.isHeld() {
 		res, decision, ended := r.runAttempt(ctx)
 		if ended || r.retryOrEnd(ctx, res, decision) {
 			return
--- a/internal/path/entry/entry.go
+++ b/internal/path/entry/entry.go
@@ -79,6 +79,7 @@
 	maxBufferedBytes int64
 	maxInlineBytes   int
 	newPicker        func(*rand.Rand) Picker
+	quarantine       Quarantine
 	mu               sync.RWMutex
 	services         map[string]*service
 	idMu             sync.Mutex
@@ -136,6 +137,7 @@
 		maxBufferedBytes: link.MaxInlineBodyBytes,
 		maxInlineBytes:   link.MaxInlineBodyBytes,
 		newPicker:        func(r *rand.Rand) Picker { return pick.New(r) },
+		quarantine:       noQuarantine{},
 		services:         make(map[string]*service),
 	}
 	for _, o := range opts {
--- a/internal/path/entry/hedge.go
+++ b/internal/path/entry/hedge.go
@@ -34,7 +34,7 @@
 // hedge if the call must not be hedged. The returned context is that of the
 // first attempt.
 func (r *callRunner) prepareHedge(ctx context.Context, a *attempt) (*hedge, context.Context) {
-	if !r.request.Repeatable || !r.body.fitsInline(r.entry.maxInlineBytes) || r.request.MaxAttempts == 1 {
+	if !r.request.Repeatable || !r.body.fitsInline(r.entry.maxInlineBytes) || r.request.MaxAttempts == 1 || r.isSuspect() {
 		return nil, ctx
 	}
 	delay, ok := r.service.hedgeDelay(a.startedAt, retry.Attempt{Request: r.request, Number: r.attempts, StartedAt: a.startedAt})
--- a/internal/path/entry/retry_after.go
+++ b/internal/path/entry/retry_after.go
@@ -13,6 +13,8 @@
 	// noTargetRetryAfter is the same for calls without a usable target.
 	busyRetryAfter     = 150 * clock.Millisecond
 	noTargetRetryAfter = 400 * clock.Millisecond
+	// crashesRetryAfter is the shortest delay of a request under which upstreams crash.
+	crashesRetryAfter = 5 * clock.Second
 	// retryAfterJitterFraction is the largest random addition, as a fraction of
 	// the shortest delay. It keeps callers that were refused at the same time
 	// from retrying at the same time.
@@ -25,6 +27,8 @@
 	switch summary.Reason {
 	case call.ReasonNoTarget, call.ReasonNoConfig, call.ReasonCold:
 		after = noTargetRetryAfter
+	case call.ReasonCrashes:
+		return max(crashesRetryAfter, summary.RetryIn)
 	case call.ReasonRateLimit:
 		// The guards have spaced the returns of callers.
 		return summary.RetryIn + busyRetryAfter*clock.Milli(rand.Float64())
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -133,6 +133,9 @@
 	if x.result.Failed {
 		g.onRequestError(err)
 		g.recordSample(Sample{Request: x.request, Failed: true, Latency: x.result.Latency})
+		if out == call.OutcomeUnknown && g.onBreak(x.request) {
+			reason = call.ReasonCrashes
+		}
 	}
 	return x.stream.refuse(x.callStart, refusal{outcome: out, reason: reason, detail: err.Error()}) && x.bodyReceived()
 }
@@ -157,7 +160,11 @@
 	if g.protocol.BufferResponses() || isShort(resp) {
 		body, err := bufferResponse(resp)
 		if err != nil {
-			return x.refuseUnusableResponse(call.ReasonUpstreamFailed, err.Error())
+			reason := call.ReasonUpstreamFailed
+			if x.request.Deadline > g.clock.Now() && g.onBreak(x.request) {
+				reason = call.ReasonCrashes
+			}
+			return x.refuseUnusableResponse(reason, err.Error())
 		}
 		resp.Body = io.NopCloser(body)
 	}
--- a/internal/path/guard/guard.go
+++ b/internal/path/guard/guard.go
@@ -52,6 +52,7 @@
 	onRefusal      func(r call.Reason)
 	preAdmission   func(ctx context.Context, r *call.Request)
 	onNotice       func(call.Notice)
+	onBreak        func(*call.Request) bool
 
 	mu               sync.Mutex
 	probeBudget      *probe.UpstreamBudget
@@ -107,6 +108,13 @@
 	return func(g *Guard) { g.onNotice = f }
 }
 
+// WithBreakHandler sets the function that receives each call whose connection broke before a
+// complete response, although it was neither cancelled nor late. It may take some time, and
+// reports whether the call is suspected to crash upstreams.
+func WithBreakHandler(f func(*call.Request) bool) Option {
+	return func(g *Guard) { g.onBreak = f }
+}
+
 // WithIdleTimeout sets how long an idle connection to the upstream is kept. It must
 // be shorter than the upstream's own idle timeout.
 func WithIdleTimeout(d clock.Milli) Option {
@@ -156,6 +164,7 @@
 		onRefusal:        func(call.Reason) {},
 		preAdmission:     func(context.Context, *call.Request) {},
 		onNotice:         func(call.Notice) {},
+		onBreak:          func(*call.Request) bool { return false },
 		probeBudget:      probe.NewUpstreamBudget(probe.UpstreamProbesPerWindow),
 		admitter:         admit.New(self.Slots),
 		ledger:           ledger.New(),
