link: interrupt the streams of a session that closes

Cause, by reading the multiplexer: closing a session first closes a channel, then the connection, waits for the end of its read loop, and only then marks the streams as closed. A stream that waits for data wakes up on the channel, finds itself open without data, waits again and wakes up at once. On one core each spins for its time slice before the read loop runs; where time stands still while a program runs there is no time slice, so it spins for good. This fits what was seen: no system calls, one goroutine waiting in Close for the lock of the session, the others runnable.

Change: when the session closes its connection, all its streams get a deadline in the past, so that they return.

--- a/internal/wire/link/coalesce.go
+++ b/internal/wire/link/coalesce.go
@@ -24,6 +24,14 @@
 	// maxSilence is the longest time without a byte of the peer, in nanoseconds. Zero
 	// means that it is not limited.
 	maxSilence atomic.Int64
+	// onClose is called before the connection is closed.
+	onClose func()
+}
+
+// Close implements net.Conn.
+func (c *coalescingConn) Close() error {
+	c.onClose()
+	return c.Conn.Close()
 }
 
 // Read implements net.Conn.
--- a/internal/wire/link/session.go
+++ b/internal/wire/link/session.go
@@ -58,6 +58,49 @@
 
 	mu          sync.Mutex
 	idleStreams [numStreamKinds][]*Stream
+
+	openMu sync.Mutex
+	// open has the streams that are not closed.
+	open map[*Stream]struct{}
+}
+
+// newSession returns a session over conn, which newMux multiplexes.
+func newSession(conn net.Conn, newMux func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error), t Timing) (*Session, error) {
+	s := &Session{offset: NewClockOffset(), open: make(map[*Stream]struct{})}
+	s.conn = &coalescingConn{Conn: conn, onClose: s.interruptStreams}
+	mux, err := newMux(s.conn, muxConfig(t))
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(ErrHandshake, err.Error())
+	}
+	s.mux = mux
+	return s, nil
+}
+
+// interruptStreams ends the reads and writes of all streams. The multiplexer closes the
+// connection first when a session ends, and the streams only after its last read; until
+// then, each stream that waits for data would spin.
+func (s *Session) interruptStreams() {
+	s.openMu.Lock()
+	defer s.openMu.Unlock()
+	for st := range s.open {
+		st.Interrupt()
+	}
+}
+
+func (s *Session) addStream(st *Stream) {
+	s.openMu.Lock()
+	defer s.openMu.Unlock()
+	s.open[st] = struct{}{}
+	if s.mux.IsClosed() {
+		st.Interrupt()
+	}
+}
+
+func (s *Session) removeStream(st *Stream) {
+	s.openMu.Lock()
+	defer s.openMu.Unlock()
+	delete(s.open, st)
 }
 
 // streamKind is the use of a stream. Idle streams are kept apart by it, as a guard
@@ -178,13 +221,10 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrClosed, err.Error())
 	}
-	merged := &coalescingConn{Conn: conn}
-	mux, err := yamux.Client(merged, muxConfig(t))
+	s, err := newSession(conn, yamux.Client, t)
 	if err != nil {
-		_ = conn.Close()
-		return nil, errors.Wrap(ErrHandshake, err.Error())
+		return nil, err
 	}
-	s := &Session{mux: mux, conn: merged, offset: NewClockOffset()}
 	if err := s.clientHandshake(ctx, self, clk); err != nil {
 		s.Close()
 		return nil, err
@@ -225,13 +265,10 @@
 func acceptSession(conn net.Conn, self Identity, clk clock.Clock) (*Session, error) {
 	timer := time.AfterFunc(handshakeTimeout.Duration(), func() { _ = conn.Close() })
 	defer timer.Stop()
-	merged := &coalescingConn{Conn: conn}
-	mux, err := yamux.Server(merged, muxConfig(defaultTiming))
+	s, err := newSession(conn, yamux.Server, defaultTiming)
 	if err != nil {
-		_ = conn.Close()
-		return nil, errors.Wrap(ErrHandshake, err.Error())
+		return nil, err
 	}
-	s := &Session{mux: mux, conn: merged, offset: NewClockOffset()}
 	if err := s.serverHandshake(self, clk); err != nil {
 		s.Close()
 		return nil, err
--- a/internal/wire/link/stream.go
+++ b/internal/wire/link/stream.go
@@ -53,7 +53,9 @@
 }
 
 func newStream(conn net.Conn, s *Session) *Stream {
-	return &Stream{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), session: s}
+	st := &Stream{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), session: s}
+	s.addStream(st)
+	return st
 }
 
 // Session returns the session on which the stream was opened.
@@ -144,5 +146,6 @@
 
 // Close ends the stream.
 func (s *Stream) Close() {
+	s.session.removeStream(s)
 	_ = s.conn.Close()
 }
