feed: do not count a read that the daemon cancelled as a lost store

What operators saw: orders_store_online 0 and store_lost although the store answered, and the duty of following the store passed on (TestMetrics, known red). Cause, from a failing run: store_lost with "context canceled", the read that Restart cancels. The read after it shows whether the store answers. TestRestartIsNoLoss failed before. TestStartLosesNoStore, a guard for whole fleets, passed before too.

--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -66,8 +66,10 @@
 	// returns none.
 	readImmediately bool
 	restart         chan struct{}
-	online          atomic.Bool
-	failing         atomic.Bool
+	// restarted is set when Restart has cancelled the read in progress.
+	restarted atomic.Bool
+	online    atomic.Bool
+	failing   atomic.Bool
 	// idle is set while the follower reads only when Poll is called.
 	idle   atomic.Bool
 	polled atomic.Bool
@@ -233,6 +235,9 @@
 			end = PositionNone
 			f.polled.Store(true)
 		case ctx.Err() != nil:
+		case f.restarted.Swap(false):
+			// The next read shows whether the store answers.
+			f.readImmediately = true
 		default:
 			f.readImmediately = true
 			f.setOnline(false, err)
@@ -257,7 +262,8 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := &restartWatcher{restart: f.restart, done: ctx.Done(), cancel: cancel}
+	f.restarted.Store(false)
+	w := &restartWatcher{restart: f.restart, restarted: &f.restarted, done: ctx.Done(), cancel: cancel}
 	go w.run()
 	b, err := f.readFrom(ctx, from)
 	if err != nil {
@@ -319,14 +325,16 @@
 
 // restartWatcher cancels a read when Restart is called on its follower.
 type restartWatcher struct {
-	restart <-chan struct{}
-	done    <-chan struct{}
-	cancel  context.CancelFunc
+	restart   <-chan struct{}
+	restarted *atomic.Bool
+	done      <-chan struct{}
+	cancel    context.CancelFunc
 }
 
 func (w *restartWatcher) run() {
 	select {
 	case <-w.restart:
+		w.restarted.Store(true)
 		w.cancel()
 	case <-w.done:
 	}
