mesh: do not restart the first read of the store

A daemon that becomes a watcher has no position yet, which counted as behind since the epoch, so its first waiting read was cancelled if the follower woke up before (a race).

--- a/internal/node/mesh/storewatch.go
+++ b/internal/node/mesh/storewatch.go
@@ -208,7 +208,9 @@
 // restartIfBehind repeats the read of a follower that lacks records that peers have.
 func (s *storeWatch) restartIfBehind() {
 	now := s.clock.Now()
-	if !s.isWatching() || s.orderFollower.Position() >= s.registry.End() {
+	position := s.orderFollower.Position()
+	// Without a position, a read of all keys is in progress.
+	if !s.isWatching() || position < 0 || position >= s.registry.End() {
 		s.behindSince = now
 		return
 	}
