entry: wait for states in the tests of hedges and link failures

In TestLinkFailures the second target joined 20 ms after the start of the call; beside load the call had not been sent by then and went to the second one (status 200 where 504 is expected). It joins now when the proxy holds the call back, or the upstream runs it.

--- a/internal/bench/inproc/proxy.go
+++ b/internal/bench/inproc/proxy.go
@@ -32,6 +32,8 @@
 	listener net.Listener
 	cond     *sync.Cond
 	paused   [2]bool
+	// held counts the chunks that a pause holds back.
+	held     int
 	maxDelay time.Duration
 	conns    map[*net.TCPConn]bool
 	wg       sync.WaitGroup
@@ -94,6 +96,13 @@
 	p.paused[d] = true
 }
 
+// Held returns the number of chunks that a pause holds back.
+func (p *Proxy) Held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held
+}
+
 // SetMaxDelay sets the maximum delay. Each chunk of bytes is delayed by a random
 // time below it; zero means no delay.
 func (p *Proxy) SetMaxDelay(maxDelay time.Duration) {
@@ -170,9 +179,11 @@
 func (p *Proxy) waitWhilePaused(c *net.TCPConn, d Direction) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.held++
 	for p.paused[d] && p.conns[c] {
 		p.cond.Wait()
 	}
+	p.held--
 	return p.conns[c]
 }
 
