--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -30,8 +30,8 @@
 	SoftDeadline clock.Milli
 	// Caller is the name under which the upstream knows the caller, empty if there is none.
 	Caller string
-	// Print identifies requests that are the same to an upstream, zero for none.
-	Print uint64
+	// Fingerprint identifies requests that are the same to an upstream, zero for none.
+	Fingerprint uint64
 	// MayQueue allows the target to queue the call, as no other target is left.
 	// Without it, a target that can't start the call immediately refuses it.
 	MayQueue bool
--- a/internal/core/crash/table.go
+++ b/internal/core/crash/table.go
@@ -40,10 +40,10 @@
 	At clock.Milli
 }
 
-// Record holds what is known of the requests with a print. Times are on the clock of this
-// daemon.
+// Record holds the crashes and the last answer of the requests with a fingerprint. Times are
+// on the clock of this daemon.
 type Record struct {
-	Print Print
+	Fingerprint Fingerprint
 	// Strikes are the crashes since the last answer, sorted by time.
 	Strikes []Strike
 	// AnsweredAt is when an upstream last answered such a request, zero if never.
@@ -53,18 +53,18 @@
 // Table holds the records of all requests that were running during a crash. It is not safe
 // for concurrent use.
 type Table struct {
-	records map[Print]*Record
+	records map[Fingerprint]*Record
 	// trials has the times at which this daemon let a held request run.
-	trials map[Print]clock.Milli
+	trials map[Fingerprint]clock.Milli
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{records: make(map[Print]*Record), trials: make(map[Print]clock.Milli)}
+	return &Table{records: make(map[Fingerprint]*Record), trials: make(map[Fingerprint]clock.Milli)}
 }
 
 // Strikes returns how many crashes are charged to a request.
-func (t *Table) Strikes(p Print) int {
+func (t *Table) Strikes(p Fingerprint) int {
 	if r := t.records[p]; r != nil {
 		return len(r.Strikes)
 	}
@@ -72,7 +72,7 @@
 }
 
 // HoldTime returns the time until a request is tried again, zero if it isn't held.
-func (t *Table) HoldTime(now clock.Milli, p Print) clock.Milli {
+func (t *Table) HoldTime(now clock.Milli, p Fingerprint) clock.Milli {
 	r := t.records[p]
 	if r == nil {
 		return 0
@@ -82,7 +82,7 @@
 
 // Admit is HoldTime for a request that runs if it returns zero. One that was held is then a
 // trial, and the others are held for the time that it takes.
-func (t *Table) Admit(now clock.Milli, p Print) clock.Milli {
+func (t *Table) Admit(now clock.Milli, p Fingerprint) clock.Milli {
 	if wait := t.HoldTime(now, p); wait > 0 {
 		return wait
 	}
@@ -109,7 +109,7 @@
 
 // RecordCrash charges a crash to the requests that were running, and returns their records
 // that changed.
-func (t *Table) RecordCrash(now clock.Milli, id uint64, running []Print) []Record {
+func (t *Table) RecordCrash(now clock.Milli, id uint64, running []Fingerprint) []Record {
 	t.expire(now)
 	most := 0
 	for _, p := range running {
@@ -129,7 +129,7 @@
 
 // RecordAnswer records that an upstream answered a request. It returns the record and whether
 // other daemons need it.
-func (t *Table) RecordAnswer(now clock.Milli, p Print) (Record, bool) {
+func (t *Table) RecordAnswer(now clock.Milli, p Fingerprint) (Record, bool) {
 	r := t.records[p]
 	if r == nil || len(r.Strikes) == 0 {
 		return Record{}, false
@@ -144,10 +144,10 @@
 	t.expire(now)
 	for i := range records {
 		in := &records[i]
-		if in.Print == 0 || now-in.lastAt() > recordTTL+maxHold {
+		if in.Fingerprint == 0 || now-in.lastAt() > recordTTL+maxHold {
 			continue
 		}
-		r := t.record(in.Print)
+		r := t.record(in.Fingerprint)
 		if in.AnsweredAt > r.AnsweredAt {
 			r.answer(min(now, in.AnsweredAt))
 			changed = true
@@ -160,14 +160,14 @@
 	return changed
 }
 
-// Records returns all records, sorted by print.
+// Records returns all records, sorted by fingerprint.
 func (t *Table) Records(now clock.Milli) []Record {
 	t.expire(now)
 	out := make([]Record, 0, len(t.records))
 	for _, r := range t.records {
 		out = append(out, r.copy())
 	}
-	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Print, b.Print) })
+	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return out
 }
 
@@ -176,21 +176,21 @@
 	sum := uint64(0)
 	for _, r := range t.records {
 		for _, s := range r.Strikes {
-			sum ^= uint64(r.Print)*31 + s.ID
+			sum ^= uint64(r.Fingerprint)*31 + s.ID
 		}
 	}
 	return sum
 }
 
-// record returns the record of a print. It makes room for a new one.
-func (t *Table) record(p Print) *Record {
+// record returns the record of a fingerprint. It makes room for a new one.
+func (t *Table) record(p Fingerprint) *Record {
 	if r := t.records[p]; r != nil {
 		return r
 	}
 	if len(t.records) >= maxRecords {
 		t.evict()
 	}
-	r := &Record{Print: p}
+	r := &Record{Fingerprint: p}
 	t.records[p] = r
 	return r
 }
@@ -203,8 +203,8 @@
 			worst = r
 		}
 	}
-	delete(t.records, worst.Print)
-	delete(t.trials, worst.Print)
+	delete(t.records, worst.Fingerprint)
+	delete(t.trials, worst.Fingerprint)
 }
 
 // expire removes the records that are out of date.
--- a/internal/core/crash/table_test.go
+++ b/internal/core/crash/table_test.go
@@ -14,55 +14,55 @@
 // Guards against a request that crashes upstream after upstream, and against one that is
 // held although something else ended the upstreams.
 func TestHold(t *testing.T) {
-	const deadly, other, third crash.Print = 7, 8, 9
+	const deadly, other, third crash.Fingerprint = 7, 8, 9
 	tests := map[string]struct {
 		setup func(table *crash.Table)
-		held  map[crash.Print]bool
+		held  map[crash.Fingerprint]bool
 	}{
 		"two crashes": {func(table *crash.Table) {
-			table.RecordCrash(start, 1, []crash.Print{deadly})
-			table.RecordCrash(start+100, 2, []crash.Print{deadly})
-		}, map[crash.Print]bool{deadly: false}},
+			table.RecordCrash(start, 1, []crash.Fingerprint{deadly})
+			table.RecordCrash(start+100, 2, []crash.Fingerprint{deadly})
+		}, map[crash.Fingerprint]bool{deadly: false}},
 		"three crashes": {func(table *crash.Table) {
 			for id := range uint64(3) {
-				table.RecordCrash(start, id, []crash.Print{deadly})
+				table.RecordCrash(start, id, []crash.Fingerprint{deadly})
 			}
-		}, map[crash.Print]bool{deadly: true}},
+		}, map[crash.Fingerprint]bool{deadly: true}},
 		"one crash that three daemons report": {func(table *crash.Table) {
 			for range 3 {
-				table.RecordCrash(start, 1, []crash.Print{deadly})
+				table.RecordCrash(start, 1, []crash.Fingerprint{deadly})
 			}
-		}, map[crash.Print]bool{deadly: false}},
+		}, map[crash.Fingerprint]bool{deadly: false}},
 		"others beside it in each crash but one": {func(table *crash.Table) {
-			table.RecordCrash(start, 1, []crash.Print{deadly, other, third})
-			table.RecordCrash(start, 2, []crash.Print{deadly, other})
-			table.RecordCrash(start, 3, []crash.Print{deadly, third})
-			table.RecordCrash(start, 4, []crash.Print{deadly, other, third})
-		}, map[crash.Print]bool{deadly: true, other: false, third: false}},
+			table.RecordCrash(start, 1, []crash.Fingerprint{deadly, other, third})
+			table.RecordCrash(start, 2, []crash.Fingerprint{deadly, other})
+			table.RecordCrash(start, 3, []crash.Fingerprint{deadly, third})
+			table.RecordCrash(start, 4, []crash.Fingerprint{deadly, other, third})
+		}, map[crash.Fingerprint]bool{deadly: true, other: false, third: false}},
 		"kills, answered in between": {func(table *crash.Table) {
 			for id := range uint64(6) {
-				table.RecordCrash(start+clock.Milli(id), id, []crash.Print{other})
+				table.RecordCrash(start+clock.Milli(id), id, []crash.Fingerprint{other})
 				if id%2 == 1 {
 					table.RecordAnswer(start+clock.Milli(id)+0.5, other)
 				}
 			}
-		}, map[crash.Print]bool{other: false}},
+		}, map[crash.Fingerprint]bool{other: false}},
 		"answered elsewhere after the hold began": {func(table *crash.Table) {
 			for id := range uint64(3) {
-				table.RecordCrash(start, id, []crash.Print{other})
+				table.RecordCrash(start, id, []crash.Fingerprint{other})
 			}
-			table.Merge(start+50, crash.Record{Print: other, AnsweredAt: start + 40})
-		}, map[crash.Print]bool{other: false}},
+			table.Merge(start+50, crash.Record{Fingerprint: other, AnsweredAt: start + 40})
+		}, map[crash.Fingerprint]bool{other: false}},
 		"crashes that other daemons saw": {func(table *crash.Table) {
-			table.RecordCrash(start, 1, []crash.Print{deadly})
-			table.Merge(start, crash.Record{Print: deadly, Strikes: []crash.Strike{{ID: 2, At: start}}})
-			table.Merge(start, crash.Record{Print: deadly, Strikes: []crash.Strike{{ID: 3, At: start}}})
-		}, map[crash.Print]bool{deadly: true}},
-		"requests without a print": {func(table *crash.Table) {
+			table.RecordCrash(start, 1, []crash.Fingerprint{deadly})
+			table.Merge(start, crash.Record{Fingerprint: deadly, Strikes: []crash.Strike{{ID: 2, At: start}}})
+			table.Merge(start, crash.Record{Fingerprint: deadly, Strikes: []crash.Strike{{ID: 3, At: start}}})
+		}, map[crash.Fingerprint]bool{deadly: true}},
+		"requests without a fingerprint": {func(table *crash.Table) {
 			for id := range uint64(5) {
-				table.RecordCrash(start, id, []crash.Print{0})
+				table.RecordCrash(start, id, []crash.Fingerprint{0})
 			}
-		}, map[crash.Print]bool{0: false}},
+		}, map[crash.Fingerprint]bool{0: false}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -70,7 +70,7 @@
 			table := crash.New()
 			tt.setup(table)
 			for p, held := range tt.held {
-				g.Expect(table.HoldTime(start+100, p) > 0).To(Equal(held), "print %d", p)
+				g.Expect(table.HoldTime(start+100, p) > 0).To(Equal(held), "fingerprint %d", p)
 			}
 		})
 	}
@@ -82,14 +82,14 @@
 	g := NewWithT(t)
 	table := crash.New()
 	for id := range uint64(3) {
-		table.RecordCrash(start, id, []crash.Print{7})
+		table.RecordCrash(start, id, []crash.Fingerprint{7})
 	}
 	wait := table.Admit(start, 7)
 	g.Expect(wait).To(BeNumerically(">", 10*clock.Second))
 	at := start + wait
 	g.Expect(table.Admit(at, 7)).To(BeZero())
 	g.Expect(table.Admit(at+1, 7)).To(BeNumerically(">", 0))
-	table.RecordCrash(at+100, 10, []crash.Print{7})
+	table.RecordCrash(at+100, 10, []crash.Fingerprint{7})
 	again := table.Admit(at+100, 7)
 	g.Expect(again).To(BeNumerically(">", wait))
 	at += 100 + again
@@ -106,10 +106,10 @@
 	g := NewWithT(t)
 	table := crash.New()
 	for id := range uint64(3) {
-		table.RecordCrash(start, id, []crash.Print{7})
+		table.RecordCrash(start, id, []crash.Fingerprint{7})
 	}
 	for id := range uint64(5000) {
-		table.RecordCrash(start+clock.Milli(id), 100+id, []crash.Print{crash.Print(1000 + id)})
+		table.RecordCrash(start+clock.Milli(id), 100+id, []crash.Fingerprint{crash.Fingerprint(1000 + id)})
 	}
 	g.Expect(len(table.Records(start + 5000))).To(BeNumerically("<=", 2048))
 	g.Expect(table.HoldTime(start+5000, 7)).To(BeNumerically(">", 0))
@@ -117,15 +117,15 @@
 }
 
 // Guards against two requests that count as the same because their parts run together.
-func TestPrint(t *testing.T) {
+func TestFingerprint(t *testing.T) {
 	g := NewWithT(t)
-	base := crash.NewPrint([]byte("body"), "caller", "GET", "host", "/a")
-	g.Expect(crash.NewPrint([]byte("body"), "caller", "GET", "host", "/a")).To(Equal(base))
-	for name, p := range map[string]crash.Print{
-		"body":   crash.NewPrint([]byte("other"), "caller", "GET", "host", "/a"),
-		"caller": crash.NewPrint([]byte("body"), "another", "GET", "host", "/a"),
-		"path":   crash.NewPrint([]byte("body"), "caller", "GET", "host", "/b"),
-		"moved":  crash.NewPrint([]byte("body"), "caller", "GET", "host/", "a"),
+	base := crash.NewFingerprint([]byte("body"), "caller", "GET", "host", "/a")
+	g.Expect(crash.NewFingerprint([]byte("body"), "caller", "GET", "host", "/a")).To(Equal(base))
+	for name, p := range map[string]crash.Fingerprint{
+		"body":   crash.NewFingerprint([]byte("other"), "caller", "GET", "host", "/a"),
+		"caller": crash.NewFingerprint([]byte("body"), "another", "GET", "host", "/a"),
+		"path":   crash.NewFingerprint([]byte("body"), "caller", "GET", "host", "/b"),
+		"moved":  crash.NewFingerprint([]byte("body"), "caller", "GET", "host/", "a"),
 	} {
 		g.Expect(p).NotTo(Equal(base), name)
 	}
--- a/internal/node/mesh/admission.go
+++ b/internal/node/mesh/admission.go
@@ -13,7 +13,7 @@
 	if reason := n.upstream.unusableReason(); reason != call.ReasonNone {
 		return reason
 	}
-	if n.crashes.isHeld(crash.Print(r.Print)) {
+	if n.crashes.isHeld(crash.Fingerprint(r.Fingerprint)) {
 		return call.ReasonCrashes
 	}
 	if n.registry.Current().CentresOut[n.settings.Centre] {
--- a/internal/node/mesh/crashes.go
+++ b/internal/node/mesh/crashes.go
@@ -59,21 +59,21 @@
 }
 
 // Admit implements entry.Quarantine.
-func (c *crashLog) Admit(p crash.Print) clock.Milli {
+func (c *crashLog) Admit(p crash.Fingerprint) clock.Milli {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.table.Admit(c.clock.Now(), p)
 }
 
 // Strikes implements entry.Quarantine.
-func (c *crashLog) Strikes(p crash.Print) int {
+func (c *crashLog) Strikes(p crash.Fingerprint) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.table.Strikes(p)
 }
 
 // isHeld reports whether the guard must refuse a request.
-func (c *crashLog) isHeld(p crash.Print) bool {
+func (c *crashLog) isHeld(p crash.Fingerprint) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.table.HoldTime(c.clock.Now(), p) > 0
@@ -96,7 +96,7 @@
 // handleBreak is called with a call whose connection broke. It waits until it is known
 // whether the upstream has crashed, and reports whether the request is suspected of that.
 func (c *crashLog) handleBreak(r *call.Request) bool {
-	p := crash.Print(r.Print)
+	p := crash.Fingerprint(r.Fingerprint)
 	c.mu.Lock()
 	q := c.inquiry
 	if q == nil {
@@ -112,7 +112,7 @@
 }
 
 // recordCrash charges a crash to the calls that were running.
-func (c *crashLog) recordCrash(q *crashInquiry, running []crash.Print) {
+func (c *crashLog) recordCrash(q *crashInquiry, running []crash.Fingerprint) {
 	c.mu.Lock()
 	changed := c.table.RecordCrash(c.clock.Now(), crashID(c.self, q.before), running)
 	c.mu.Unlock()
@@ -128,7 +128,7 @@
 }
 
 // recordAnswer records that the upstream answered a request.
-func (c *crashLog) recordAnswer(p crash.Print) {
+func (c *crashLog) recordAnswer(p crash.Fingerprint) {
 	c.mu.Lock()
 	record, spread := c.table.RecordAnswer(c.clock.Now(), p)
 	c.mu.Unlock()
@@ -144,9 +144,9 @@
 	for i := range records {
 		r := &records[i]
 		c.mu.Lock()
-		hold := c.table.HoldTime(now, r.Print)
+		hold := c.table.HoldTime(now, r.Fingerprint)
 		c.mu.Unlock()
-		c.log.Warn().Uint64("print", uint64(r.Print)).Int("strikes", len(r.Strikes)).Float64("hold_ms", float64(hold)).Msg("request_charged")
+		c.log.Warn().Uint64("fingerprint", uint64(r.Fingerprint)).Int("strikes", len(r.Strikes)).Float64("hold_ms", float64(hold)).Msg("request_charged")
 	}
 }
 
@@ -223,7 +223,7 @@
 	out := make([]*wire.CrashRecord, 0, len(records))
 	for i := range records {
 		r := &records[i]
-		w := &wire.CrashRecord{Print: uint64(r.Print), Answered: r.AnsweredAt > 0, AnsweredAgeMs: float64(now - r.AnsweredAt)}
+		w := &wire.CrashRecord{Fingerprint: uint64(r.Fingerprint), Answered: r.AnsweredAt > 0, AnsweredAgeMs: float64(now - r.AnsweredAt)}
 		for _, s := range r.Strikes {
 			w.Strikes = append(w.Strikes, &wire.CrashStrike{Id: s.ID, AgeMs: float64(now - s.At)})
 		}
@@ -233,7 +233,7 @@
 }
 
 func decodeCrash(now clock.Milli, w *wire.CrashRecord) crash.Record {
-	r := crash.Record{Print: crash.Print(w.GetPrint())}
+	r := crash.Record{Fingerprint: crash.Fingerprint(w.GetFingerprint())}
 	if w.GetAnswered() {
 		r.AnsweredAt = now - max(0, clock.Milli(w.GetAnsweredAgeMs()))
 	}
@@ -249,7 +249,7 @@
 	// before is the state of the upstream when the first connection broke.
 	before health.UpstreamState
 	// running and labels are the calls that lost their connections.
-	running []crash.Print
+	running []crash.Fingerprint
 	labels  []string
 	// done is closed when the result is recorded.
 	done chan struct{}
--- a/internal/node/mesh/metrics.go
+++ b/internal/node/mesh/metrics.go
@@ -34,7 +34,7 @@
 func (n *Node) recordUpstream(s guard.Sample) {
 	n.meter.ObserveUpstreamCall(s.Failed, s.Latency)
 	if s.Status > 0 && (!s.Failed || s.Status >= http.StatusInternalServerError) {
-		n.crashes.recordAnswer(crash.Print(s.Request.Print))
+		n.crashes.recordAnswer(crash.Fingerprint(s.Request.Fingerprint))
 	}
 }
 
--- a/internal/path/entry/attempt.go
+++ b/internal/path/entry/attempt.go
@@ -87,7 +87,7 @@
 		Aim:              float64(r.SoftDeadline),
 		Label:            r.ClientRequestID,
 		MayQueue:         r.MayQueue,
-		Print:            r.Print,
+		Fingerprint:      r.Fingerprint,
 	}
 	if runner.body.fitsInline(runner.entry.maxInlineBytes) {
 		c.Body = runner.body.buffered
--- a/internal/path/entry/call_runner.go
+++ b/internal/path/entry/call_runner.go
@@ -59,7 +59,7 @@
 		r.end(call.OutcomeNotRun, call.ReasonBadRequest)
 		return
 	}
-	r.setPrint()
+	r.setFingerprint()
 	for !r.isHeld() {
 		res, decision, ended := r.runAttempt(ctx)
 		if ended || r.retryOrEnd(ctx, res, decision) {
--- a/internal/path/entry/quarantine.go
+++ b/internal/path/entry/quarantine.go
@@ -10,9 +10,9 @@
 // for concurrent use.
 type Quarantine interface {
 	// Admit returns the time until a request may run, zero if it runs now.
-	Admit(p crash.Print) clock.Milli
+	Admit(p crash.Fingerprint) clock.Milli
 	// Strikes returns how many crashes are charged to a request.
-	Strikes(p crash.Print) int
+	Strikes(p crash.Fingerprint) int
 }
 
 // WithQuarantine sets the quarantine. Without one, no request is held back.
@@ -23,20 +23,20 @@
 type noQuarantine struct{}
 
 // Admit implements Quarantine.
-func (noQuarantine) Admit(crash.Print) clock.Milli { return 0 }
+func (noQuarantine) Admit(crash.Fingerprint) clock.Milli { return 0 }
 
 // Strikes implements Quarantine.
-func (noQuarantine) Strikes(crash.Print) int { return 0 }
+func (noQuarantine) Strikes(crash.Fingerprint) int { return 0 }
 
-// setPrint sets the print of the request. The part of the body that was not read before the
+// setFingerprint sets the fingerprint of the request. The part of the body that was not read before the
 // first attempt does not count.
-func (r *callRunner) setPrint() {
-	r.request.Print = uint64(crash.NewPrint(r.body.buffered, r.request.Caller, r.httpReq.Method, r.httpReq.Host, r.httpReq.URL.RequestURI()))
+func (r *callRunner) setFingerprint() {
+	r.request.Fingerprint = uint64(crash.NewFingerprint(r.body.buffered, r.request.Caller, r.httpReq.Method, r.httpReq.Host, r.httpReq.URL.RequestURI()))
 }
 
 // isHeld reports whether the request must not run now, and ends the call if so.
 func (r *callRunner) isHeld() bool {
-	wait := r.entry.quarantine.Admit(crash.Print(r.request.Print))
+	wait := r.entry.quarantine.Admit(crash.Fingerprint(r.request.Fingerprint))
 	if wait == 0 {
 		return false
 	}
@@ -47,5 +47,5 @@
 
 // isSuspect reports whether an upstream crashed while it ran the request.
 func (r *callRunner) isSuspect() bool {
-	return r.entry.quarantine.Strikes(crash.Print(r.request.Print)) > 0
+	return r.entry.quarantine.Strikes(crash.Fingerprint(r.request.Fingerprint)) > 0
 }
--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -131,7 +131,7 @@
 		Priority:        int(c.GetRank()),
 		ClientRequestID: c.GetLabel(),
 		MayQueue:        c.GetMayQueue(),
-		Print:           c.GetPrint(),
+		Fingerprint:     c.GetFingerprint(),
 	}
 	if c.GetAim() > 0 {
 		r.SoftDeadline = offset.ToLocal(clock.Milli(c.GetAim()))
--- a/internal/wire/link/spin_test.go
+++ b/internal/wire/link/spin_test.go
@@ -15,7 +15,7 @@
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
 
-// lateReadTime is how long a read goes on after the end of its connection.
+// lateReadTime is how long a read continues after the end of its connection.
 const lateReadTime = 300 * time.Millisecond
 
 // lateConn is a connection on which reads end late.
