--- a/internal/path/entry/quarantine.go
+++ b/internal/path/entry/quarantine.go
@@ -28,8 +28,8 @@
 // Strikes implements Quarantine.
 func (noQuarantine) Strikes(crash.Fingerprint) int { return 0 }
 
-// setFingerprint sets the fingerprint of the request. The part of the body that was not read before the
-// first attempt does not count.
+// setFingerprint sets the fingerprint of the request. The part of the body that was not read
+// before the first attempt does not count.
 func (r *callRunner) setFingerprint() {
 	r.request.Fingerprint = uint64(crash.NewFingerprint(r.body.buffered, r.request.Caller, r.httpReq.Method, r.httpReq.Host, r.httpReq.URL.RequestURI()))
 }
