place: charge a failed call at least 150 ms

What callers see: an upstream whose calls all end at their deadline keeps getting them, if its calls were short before and the last reports of the others were from a busy moment.

Cause: the penalty of failures is a multiple of the mean service time, about 2 ms there, less than the ratio of old latencies makes of the healthy ones. The log of a failing run has reason=upstream_failed and choice=lowest_cost for each call.

TestFailingTargetIsAvoidedThoughOthersWereSlow: 40 failed calls before, at most 3 allowed; passes.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -49,6 +49,9 @@
 	// failureCost is the cost of a failure rate of 1, and of a target that reported
 	// to leave, in mean service times.
 	failureCost = 6
+	// minFailedTime is the shortest time that a failed call is assumed to cost its caller,
+	// who has to send it again, also if the calls of the service are short.
+	minFailedTime = 150 * clock.Millisecond
 	// maxCostJitter is the maximum fraction that is added to a cost at random. It
 	// spreads the entries over targets of about the same cost.
 	maxCostJitter = 0.15
@@ -225,7 +228,7 @@
 	if t.state.Leaving && now-t.state.ReceivedAt < failureHalfLife {
 		cost += failureCost * p.meanServiceTime
 	}
-	cost += clock.Milli(failureCost*t.decayedFailureRate(now)) * p.meanServiceTime
+	cost += clock.Milli(failureCost*t.decayedFailureRate(now)) * max(minFailedTime, p.meanServiceTime)
 	if t.Centre != q.Centre {
 		if q.Request.Class == call.Transfer {
 			cost += crossCentreTransferCost
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -111,6 +111,35 @@
 	g.Expect(c.Target.ID).To(Equal("near"))
 }
 
+// Guards against a target whose calls all fail at their deadline and that keeps getting them,
+// because its calls were fast before and the last reports of the others were from a busy
+// moment.
+func TestFailingTargetIsAvoidedThoughOthersWereSlow(t *testing.T) {
+	g := NewWithT(t)
+	p := place.New(rand.New(rand.NewPCG(1, 2)))
+	p.SetTargets(now, []call.Target{newTarget("failing", "c1"), newTarget("other", "c1")})
+	report := func(at clock.Milli, id string, latency clock.Milli, failed bool) {
+		state := newState(id, 0, 1)
+		state.Latency, state.ReceivedAt = latency, at
+		p.RecordStart(at, id)
+		p.RecordResult(at, id, call.Result{Outcome: call.OutcomeAnswered, Latency: latency, Failed: failed, State: &state})
+	}
+	report(now, "other", 20, false)
+	for range 100 {
+		report(now, "failing", 2, false)
+	}
+	at := now
+	fails := 0
+	for ; fails < 40; fails++ {
+		if p.Choose(at, pick.Query{Request: &call.Request{}, Centre: "c1"}).Target.ID != "failing" {
+			break
+		}
+		at += 1500
+		report(at, "failing", 2, true)
+	}
+	g.Expect(fails).To(BeNumerically("<=", 3))
+}
+
 // Guards against sending all calls to one of several equal targets.
 func TestSpread(t *testing.T) {
 	g := NewWithT(t)
