canary: judge versions by the share of bad answers

Cause: slowness was a ratio of mean service times above 3, and only answers that had come back were compared. Half of the calls at three times the time give a mean of twice the old one; slow answers come after the steps of a short move are over, and calls cut off at their deadline never came. Ruled out: counts of guards that were missing (all were in the new log fields).

Change: guards report histograms of service times, of calls that were cut off and of the ages of calls in progress. Judges compare the number of bad answers with what the old version would have had in the same period, without the upstream that has most (rollback) or the outliers (suspicion). The share of a suspect version does not grow; it is rolled back at 0.97 of the time. Steps are 0.095, 0.2, 0.35, 1. The fixed limits on failures are gone: they took good versions back (3 failures of 22 calls).

The latency buckets moved from trial to call, where both tests of versions use them.

--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -87,6 +87,15 @@
 	Failed uint64
 	// TotalServiceTime is the total service time of the calls that did not fail.
 	TotalServiceTime clock.Milli
+	// Answered has the service times of the calls that did not fail, without the slowdown
+	// of the VM.
+	Answered LatencyHistogram
+	// CutOff has, for the calls that ended without a response at their deadline or because
+	// the caller gave up, the time until then, without the slowdown of the VM. They are
+	// counted neither in Calls nor in Failed.
+	CutOff LatencyHistogram
+	// Running has the ages of the calls in progress, without the slowdown of the VM.
+	Running LatencyHistogram
 }
 
 // LoadReport is the load that an upstream reports about itself.
--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -43,11 +43,20 @@
 )
 
 type runningCall struct {
-	route string
+	route     string
+	startedAt clock.Milli
 	// slowdown is the slowdown of the VM at the start of the call.
 	slowdown float64
 }
 
+// serviceTime returns a duration at the upstream without the slowdown of the VM.
+func (r *runningCall) serviceTime(d clock.Milli) clock.Milli {
+	if r.slowdown > 0 {
+		return d / clock.Milli(r.slowdown)
+	}
+	return d
+}
+
 type queuedCall struct {
 	request     admit.Request
 	seq         uint64
@@ -188,18 +197,18 @@
 	if r.Load != nil {
 		d.ObserveLoad(now, *r.Load)
 	}
-	if !r.Cancelled && !r.NotRun {
+	if !r.NotRun {
 		d.countResult(run, r)
 	}
 	return d.dispatchQueued(now, d.expireQueued(now, nil))
 }
 
 func (d *Dispatcher) countResult(run runningCall, r admit.Result) {
-	route, slowdown := run.route, run.slowdown
-	stats := d.routeStats[route]
-	if stats == nil {
-		stats = &call.RouteStats{Route: route}
-		d.routeStats[route] = stats
+	stats := d.statsOf(run.route)
+	serviceTime := run.serviceTime(r.Latency)
+	if r.Cancelled {
+		stats.CutOff.Observe(serviceTime)
+		return
 	}
 	stats.Calls++
 	if r.Failed {
@@ -207,16 +216,19 @@
 		return
 	}
 	stats.TotalServiceTime += r.Latency
-	if slowdown > 0 {
-		r.Latency /= clock.Milli(slowdown)
-	}
+	stats.Answered.Observe(serviceTime)
+	d.updateMeans(run.route, serviceTime)
+}
+
+// updateMeans adds a service time without slowdown of the VM to the mean ones.
+func (d *Dispatcher) updateMeans(route string, serviceTime clock.Milli) {
 	d.measuredCalls++
 	weight := max(serviceTimeEWMAWeight, 1/float64(d.measuredCalls))
-	d.meanServiceTime += clock.Milli(weight) * (r.Latency - d.meanServiceTime)
+	d.meanServiceTime += clock.Milli(weight) * (serviceTime - d.meanServiceTime)
 	if old, ok := d.serviceTimes[route]; ok {
-		r.Latency = old + serviceTimeEWMAWeight*(r.Latency-old)
+		serviceTime = old + serviceTimeEWMAWeight*(serviceTime-old)
 	}
-	d.serviceTimes[route] = r.Latency
+	d.serviceTimes[route] = serviceTime
 }
 
 // Cancel removes a queued call and returns the decisions that are due. It returns nil
@@ -259,7 +271,13 @@
 
 // RouteStats returns the statistics of each route since the last Reset, in no
 // particular order.
-func (d *Dispatcher) RouteStats() []call.RouteStats {
+func (d *Dispatcher) RouteStats(now clock.Milli) []call.RouteStats {
+	for _, stats := range d.routeStats {
+		stats.Running = call.LatencyHistogram{}
+	}
+	for _, run := range d.inProgress {
+		d.statsOf(run.route).Running.Observe(run.serviceTime(now - run.startedAt))
+	}
 	out := make([]call.RouteStats, 0, len(d.routeStats))
 	for _, stats := range d.routeStats {
 		out = append(out, *stats)
@@ -267,11 +285,20 @@
 	return out
 }
 
+func (d *Dispatcher) statsOf(route string) *call.RouteStats {
+	stats := d.routeStats[route]
+	if stats == nil {
+		stats = &call.RouteStats{Route: route}
+		d.routeStats[route] = stats
+	}
+	return stats
+}
+
 func (d *Dispatcher) admit(now clock.Milli, req admit.Request) admit.Decision {
 	_, running := d.inProgress[req.ID]
 	assert.That(!running, assert.AtMostOnce, "id %s admitted while it runs", req.ID)
 	d.coldLimit.takeToken(now)
 	d.statedLimit.takeToken(now)
-	d.inProgress[req.ID] = runningCall{route: req.Route, slowdown: d.currentSlowdown(now)}
+	d.inProgress[req.ID] = runningCall{route: req.Route, startedAt: now, slowdown: d.currentSlowdown(now)}
 	return admit.Decision{ID: req.ID, Admit: true}
 }
--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -23,14 +23,12 @@
 const (
 	// trialShare is the share of requests that the new version gets during the
 	// trial. It stays below the 10 % that a bad version may get.
-	trialShare = 0.08
+	trialShare = 0.095
 	// trialFraction is the fraction of MaxDuration that the trial takes. Some
 	// versions start to fail only after several seconds.
-	trialFraction = 0.5
-	// maxStepFraction is the fraction of MaxDuration that each later step takes.
-	// After a long trial it shrinks, down to minStepFraction, so that the last
-	// step ends by lastStepEndFraction.
-	maxStepFraction     = 0.09
+	trialFraction = 0.4
+	// A step after a long trial is shorter than planned, at least minStepFraction of
+	// MaxDuration, so that the last one ends by lastStepEndFraction.
 	minStepFraction     = 0.05
 	lastStepEndFraction = 0.95
 	// minTrialCalls is the number of calls at the new version that the trial needs
@@ -39,11 +37,22 @@
 	// maxTrialFraction is the fraction of MaxDuration after which the trial ends
 	// with fewer than minTrialCalls calls, but at least one.
 	maxTrialFraction = 0.65
+	// verdictFraction is the fraction of MaxDuration after which a version that is still
+	// suspect is rolled back.
+	verdictFraction = 0.97
 )
 
-// stepShares are the shares of the new version after the trial. The full share
+// step is an increase of the new version's share after the trial.
+type step struct {
+	share float64
+	// fraction is the fraction of MaxDuration that the step takes.
+	fraction float64
+}
+
+// steps are the increases of the share. The first ones are small, so that most answers by
+// which the version is judged come in before it gets half of the requests. The full share
 // is observed for two steps.
-var stepShares = []float64{0.25, 0.5, 1, 1}
+var steps = []step{{0.2, 0.17}, {0.35, 0.15}, {1, 0.1}, {1, 0.09}}
 
 // Move is the state of one version move and the call statistics that decide on
 // it. It is not safe for concurrent use.
@@ -56,6 +65,8 @@
 	step        int
 	lastStepAt  clock.Milli
 	phaseReason string
+	// evidence is that of the latest evaluation on all routes since the order.
+	evidence Evidence
 }
 
 // New returns a running move at the trial share.
@@ -73,6 +84,10 @@
 // running and after a success that this daemon determined itself.
 func (m *Move) PhaseReason() string { return m.phaseReason }
 
+// Evidence returns the evidence on all routes since the order, as of the latest evaluation
+// by this daemon.
+func (m *Move) Evidence() Evidence { return m.evidence }
+
 // RepeatOrder replaces the order by one with the same content that was written again after
 // a restore of the store. The progress of the move stays.
 func (m *Move) RepeatOrder(o order.Move) {
@@ -106,7 +121,7 @@
 // the time of its latest increase.
 func (m *Move) MergeStep(step int, at clock.Milli) {
 	if step > m.step {
-		m.step, m.lastStepAt = min(step, len(stepShares)), at
+		m.step, m.lastStepAt = min(step, len(steps)), at
 	}
 }
 
@@ -122,15 +137,19 @@
 	if m.phase != Running {
 		return false
 	}
-	s := m.calls.snapshot(now)
-	if reason := s.rollbackReason(); reason != "" {
+	v := m.calls.evidence(now)
+	m.evidence = v[0]
+	if reason := v.rollbackReason(); reason != "" {
 		m.phase, m.phaseReason = RolledBack, reason
 		return true
 	}
-	if !m.stepComplete(now, &s) {
+	if reason := v.suspectReason(); reason != "" {
+		return m.rollBackAtEnd(now, reason)
+	}
+	if !m.stepComplete(now) {
 		return false
 	}
-	if m.step == len(stepShares) {
+	if m.step == len(steps) {
 		m.phase = Succeeded
 		return true
 	}
@@ -138,35 +157,44 @@
 	return true
 }
 
+// rollBackAtEnd rolls a version back whose answers are suspect until the time for the move
+// is nearly over. Its share does not grow before.
+func (m *Move) rollBackAtEnd(now clock.Milli, reason string) bool {
+	if now-m.order.ReceivedAt < m.order.MaxDuration*verdictFraction {
+		return false
+	}
+	m.phase, m.phaseReason = RolledBack, "suspect until the end: "+reason
+	return true
+}
+
 // stepComplete reports whether the current share has been observed long enough.
-// The last step has no time limit: it ends when the version has got its share and
-// does not fail more often than the old one. Earlier steps end at the latest after
+// The last step has no time limit: it ends when the version has got its share. Earlier steps end at the latest after
 // twice their duration.
-func (m *Move) stepComplete(now clock.Milli, s *snapshot) bool {
+func (m *Move) stepComplete(now clock.Milli) bool {
 	if m.step == 0 {
-		return m.trialComplete(now, s)
+		return m.trialComplete(now)
 	}
 	age, minAge := now-m.lastStepAt, m.stepDuration()
 	if age < minAge {
 		return false
 	}
-	if m.calls.statsSince(m.lastStepAt).reachedShare(m.Share()) && !s.failsMoreOften() {
+	if m.calls.statsSince(m.lastStepAt).reachedShare(m.Share()) {
 		return true
 	}
-	return m.step < len(stepShares) && age >= 2*minAge
+	return m.step < len(steps) && age >= 2*minAge
 }
 
 // stepDuration returns the planned duration of the current step.
 func (m *Move) stepDuration() clock.Milli {
 	timeLeft := m.order.ReceivedAt + m.order.MaxDuration*lastStepEndFraction - m.lastStepAt
-	stepsLeft := clock.Milli(len(stepShares) - m.step + 1)
-	return min(m.order.MaxDuration*maxStepFraction, max(m.order.MaxDuration*minStepFraction, timeLeft/stepsLeft))
+	stepsLeft := clock.Milli(len(steps) - m.step + 1)
+	return min(m.order.MaxDuration*clock.Milli(steps[m.step-1].fraction), max(m.order.MaxDuration*minStepFraction, timeLeft/stepsLeft))
 }
 
 // trialComplete reports whether the trial is over. It takes at least one call at
 // the new version.
-func (m *Move) trialComplete(now clock.Milli, s *snapshot) bool {
-	calls := s.total.byRoute(true)[""].calls
+func (m *Move) trialComplete(now clock.Milli) bool {
+	calls := m.calls.newVersionCalls()
 	fraction := trialFraction
 	if calls < minTrialCalls {
 		fraction = maxTrialFraction
@@ -184,6 +212,6 @@
 	case m.step == 0:
 		return trialShare
 	default:
-		return stepShares[m.step-1]
+		return steps[m.step-1].share
 	}
 }
--- a/internal/moves/shift/wire.go
+++ b/internal/moves/shift/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/trial"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
@@ -38,7 +39,7 @@
 	}
 	var total int64
 	for i, b := range w.GetBucket() {
-		if b >= trial.BucketCount {
+		if b >= call.LatencyBuckets {
 			return s, false
 		}
 		s.Latency[b] += int64(w.GetCount()[i])
--- a/internal/moves/trial/route.go
+++ b/internal/moves/trial/route.go
@@ -1,5 +1,7 @@
 package trial
 
+import "gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+
 const (
 	// maxGroups is the maximum number of target groups of a route, each with a
 	// leave-one-out process.
@@ -69,7 +71,7 @@
 	ordinal int
 	// firstWindow is the window in which the route appeared.
 	firstWindow   int64
-	histogram     [BucketCount]float64
+	histogram     [call.LatencyBuckets]float64
 	oldErrors     float64
 	thresholds    [metricCount]int
 	hasThresholds bool
@@ -209,12 +211,12 @@
 	r.hasThresholds = total >= minHistogramCalls
 	for m := AboveP50; m < metricCount; m++ {
 		above := 0.0
-		th := BucketCount
+		th := call.LatencyBuckets
 		for th > 1 && above+r.histogram[th-1] <= total*slowFractions[m] {
 			th--
 			above += r.histogram[th]
 		}
-		r.thresholds[m] = min(th, BucketCount-1)
+		r.thresholds[m] = min(th, call.LatencyBuckets-1)
 	}
 }
 
--- a/internal/moves/trial/routeresult.go
+++ b/internal/moves/trial/routeresult.go
@@ -1,5 +1,7 @@
 package trial
 
+import "gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+
 // eValue returns the e-value against the new version, without its worst group
 // of targets if dropWorst is set.
 func (r *route) eValue(dropWorst bool) float64 {
@@ -52,7 +54,7 @@
 		NewTargets: r.groupCount,
 	}
 	if metric != Errors {
-		f.LatencyThreshold = BucketLowerBound(r.thresholds[metric])
+		f.LatencyThreshold = call.LatencyBucketStart(r.thresholds[metric])
 	}
 	return f
 }
--- a/internal/moves/trial/trial.go
+++ b/internal/moves/trial/trial.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 )
 
 // graceWindows is the number of windows for which a judge waits for late
@@ -117,7 +118,7 @@
 		return
 	}
 	if s.Cold && t.isWarmingUp(&s) {
-		s.Latency = [BucketCount]int64{}
+		s.Latency = [call.LatencyBuckets]int64{}
 	}
 	if s.Window <= t.lastClosed {
 		t.LateSamples++
--- a/internal/node/daemon/serviceloads.go
+++ b/internal/node/daemon/serviceloads.go
@@ -35,7 +35,7 @@
 		l.busyTime[s.Service] = windows
 	}
 	for i, n := range s.Latency {
-		windows[s.Window] += clock.Milli(n) * trial.BucketLowerBound(i+1)
+		windows[s.Window] += clock.Milli(n) * call.LatencyBucketStart(i+1)
 	}
 }
 
--- a/internal/node/mesh/metrics.go
+++ b/internal/node/mesh/metrics.go
@@ -61,6 +61,9 @@
 	n.meter.AddGauge("requests_held", func() float64 { return float64(n.crashes.held()) })
 	n.meter.AddGauge("upstream_limited", func() float64 { return gaugeValue(n.upstream.notice().Limited) })
 	n.meter.AddGauge("upstream_limit_per_second", func() float64 { return n.upstream.notice().RateLimit })
+	n.meter.AddGauge("version_answers", func() float64 { return float64(n.moves.evidence(n.settings.Service).Answers) })
+	n.meter.AddGauge("version_bad_answers", func() float64 { return float64(n.moves.evidence(n.settings.Service).Bad) })
+	n.meter.AddGauge("version_expected_bad_answers", func() float64 { return n.moves.evidence(n.settings.Service).Expected })
 	n.meter.AddGauge("guard_calls_in_progress", func() float64 { return float64(n.guard.InProgress()) })
 }
 
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -178,7 +178,10 @@
 // end.
 func (m *moveTracker) recordProgress(service string, s *moveState, now clock.Milli) {
 	ord := s.move.Order()
-	event := m.log.Info().Str("service", service).Str("version", ord.Version)
+	evidence := s.move.Evidence()
+	event := m.log.Info().Str("service", service).Str("version", ord.Version).
+		Uint64("answers", evidence.Answers).Uint64("bad", evidence.Bad).
+		Float64("expected_bad", evidence.Expected).Float64("probability", evidence.Probability)
 	if s.move.Phase() == canary.Running {
 		event.Float64("share", s.move.Share()).Float64("age_ms", float64(now-ord.ReceivedAt)).Msg("version_move_grew")
 		return
@@ -187,6 +190,17 @@
 	event.Str("phase", s.move.Phase().String()).Str("why", s.move.PhaseReason()).Msg("version_move_ended")
 }
 
+// evidence returns the evidence on the latest move of a service, which is empty unless this
+// daemon is one of its judges.
+func (m *moveTracker) evidence(service string) canary.Evidence {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.byService[service]; s != nil {
+		return s.move.Evidence()
+	}
+	return canary.Evidence{}
+}
+
 // encode returns the moves as sent to peers, with times as ages.
 func (m *moveTracker) encode(now clock.Milli) []*wire.MoveState {
 	m.mu.Lock()
--- a/internal/node/mesh/upstream.go
+++ b/internal/node/mesh/upstream.go
@@ -232,5 +232,5 @@
 func (u *upstream) routeStats() (health.UpstreamState, []call.RouteStats) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.tracker.UpstreamState(), u.dispatcher.RouteStats()
+	return u.tracker.UpstreamState(), u.dispatcher.RouteStats(u.clock.Now())
 }
