watch: let only answers vouch for the store

Cause: the notices of a watcher said that the store was followed 0 ms ago, also while the store left its read without an answer, until the read timed out after up to 7 s. Till then no other daemon read the store, though it would have been answered. Ruled out: duties that pass on late (they do, but others read meanwhile). A second cause for silent connections: the read of another daemon went out on an idle connection that was silent too.

Change: notices carry the age of the last answer of the store to any daemon. Watchers spread their reads (one answer each 1.1 s); at an age of 1.45 s all daemons read in turn until one is answered. The record of the last notice and the view of the store were the same thing twice; the view is left.

--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -78,7 +78,7 @@
 	position atomic.Int64
 	// fullReadAt is the time of the last full read.
 	fullReadAt time.Time
-	onRead     func()
+	onRead     func(age clock.Milli)
 }
 
 // PositionNone as the start makes a follower begin with the newest item of
@@ -91,7 +91,7 @@
 	f := &Follower{
 		store: s, topic: topic, sink: sink, log: log, start: PositionNone, batchDelay: defaultBatchDelay,
 		readWait: func() clock.Milli { return maxReadWait }, restart: make(chan struct{}, 1),
-		wake: make(chan struct{}, 1), onRead: func() {},
+		wake: make(chan struct{}, 1), onRead: func(clock.Milli) {},
 	}
 	for _, o := range opts {
 		o(f)
@@ -217,6 +217,7 @@
 // readOnce performs one read and passes its items to the sink. It returns the
 // position of the next read.
 func (f *Follower) readOnce(ctx context.Context, from Position) (Position, error) {
+	sentAt := time.Now()
 	if from < 0 {
 		b, err := f.store.Newest(ctx, f.topic)
 		if err != nil {
@@ -224,7 +225,7 @@
 		}
 		f.setOnline(true, nil)
 		f.sink.Replace(b.Items, b.End)
-		f.onRead()
+		f.onRead(clock.FromDuration(time.Since(sentAt)))
 		f.fullReadAt = time.Now()
 		return b.End, nil
 	}
@@ -233,13 +234,18 @@
 	f.restarted.Store(false)
 	w := &restartWatcher{restart: f.restart, restarted: &f.restarted, done: ctx.Done(), cancel: cancel}
 	go w.run()
+	waits := !f.readImmediately
 	b, err := f.readFrom(ctx, from)
 	if err != nil {
 		return from, err
 	}
 	f.setOnline(true, nil)
 	f.sink.Apply(b.Items, b.End)
-	f.onRead()
+	if waits {
+		// The store holds a read that waits until just before its answer.
+		sentAt = time.Now()
+	}
+	f.onRead(clock.FromDuration(time.Since(sentAt)))
 	f.readImmediately = len(b.Items) > 0
 	if f.readImmediately && !f.idle.Load() {
 		clock.Sleep(ctx, f.batchDelay)
--- a/internal/conf/feed/options.go
+++ b/internal/conf/feed/options.go
@@ -29,7 +29,8 @@
 	return func(f *Follower) { f.idle.Store(true) }
 }
 
-// WithReadHook sets a function that is called after each successful read.
-func WithReadHook(onRead func()) Option {
+// WithReadHook sets a function that is called after each successful read, with the time since
+// which the store may have changed without the read showing it.
+func WithReadHook(onRead func(age clock.Milli)) Option {
 	return func(f *Follower) { f.onRead = onRead }
 }
--- a/internal/fleet/watch/contact.go
+++ b/internal/fleet/watch/contact.go
@@ -1,50 +1,97 @@
 package watch
 
-import "gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+import (
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+)
 
 const (
-	// NoticeInterval is the time between the notices of a watcher or relay.
-	NoticeInterval = 400 * clock.Millisecond
-	// SilentAfter is the time without a notice after which a daemon reads the store
-	// itself. The loss of all watchers at once shows by their links only after about the
-	// time in which a directive must be in force.
-	SilentAfter = clock.Second
-	// silentReadInterval is the time between reads of a daemon that gets no notices.
-	silentReadInterval = 700 * clock.Millisecond
-	// silentReadJitter is the longest delay of the first of these reads. A daemon that
-	// reads sends notices, so that most of the others need not read.
-	silentReadJitter = 300 * clock.Millisecond
+	// NoticeInterval is the longest time between the notices of a watcher or relay.
+	NoticeInterval = 800 * clock.Millisecond
+	// ReadInterval is the time between the answers of the store to all watchers together
+	// while it has nothing new.
+	ReadInterval = 1100 * clock.Millisecond
+	// SilentAfter is the age of the last known answer of the store from which daemons read
+	// it themselves. It leaves time for the turns and the answer before a directive must be
+	// in force.
+	SilentAfter = 1450 * clock.Millisecond
+	// turnDelay is the time after which twice as many daemons read the store. An answer to
+	// one of them stops the others.
+	turnDelay = 50 * clock.Millisecond
+	// minReadRetry and readRetryPerDaemon give the time until a daemon reads again after
+	// its first read without an answer. It doubles with each further one.
+	minReadRetry       = clock.Second
+	readRetryPerDaemon = 20 * clock.Millisecond
 )
 
-// Contact records when this daemon last had a notice from one that follows the store, and
-// decides when it reads the store itself.
+// Contact decides when a daemon reads the store itself, because no recent answer of the store
+// to any daemon is known. The store may answer only some daemons, and no daemon knows which.
+// So all read it in turn, the watchers first, then twice as many after each turnDelay. The
+// zero value is ready for use.
 type Contact struct {
-	heardAt clock.Milli
-	nextAt  clock.Milli
+	// answeredAt is the time of the last known answer, reads the number of reads since it
+	// was known, lastReadAt the time of the last one.
+	answeredAt clock.Milli
+	reads      int
+	lastReadAt clock.Milli
 }
 
-// Hear records that a daemon followed the store at an instant.
-func (c *Contact) Hear(at clock.Milli) {
-	c.heardAt = max(c.heardAt, at)
+// NextRead returns when the daemon with this turn has to read the store, if no later answer
+// than the one at answeredAt becomes known.
+func (c *Contact) NextRead(answeredAt clock.Milli, turn, fleet int) clock.Milli {
+	if answeredAt != c.answeredAt {
+		c.answeredAt, c.reads = answeredAt, 0
+	}
+	if c.reads == 0 {
+		return answeredAt + SilentAfter + turnDelay*clock.Milli(bits.Len(uint(turn+1))-1)
+	}
+	retry := max(minReadRetry, readRetryPerDaemon*clock.Milli(fleet))
+	return c.lastReadAt + retry*clock.Milli(uint(1)<<min(c.reads-1, maxRetryDoublings))
 }
 
-// Silence returns the time since a daemon is known to have followed the store.
-func (c *Contact) Silence(now clock.Milli) clock.Milli {
-	return max(0, now-c.heardAt)
+// maxRetryDoublings limits the growth of the time between reads without an answer.
+const maxRetryDoublings = 4
+
+// RecordRead records that the daemon reads the store.
+func (c *Contact) RecordRead(now clock.Milli) {
+	c.reads++
+	c.lastReadAt = now
 }
 
-// ReadDue reports whether to read the store now. The random number is in [0, 1).
-func (c *Contact) ReadDue(now clock.Milli, random float64) bool {
-	if c.Silence(now) < SilentAfter {
-		c.nextAt = 0
-		return false
-	}
-	if c.nextAt == 0 {
-		c.nextAt = now + clock.Milli(random)*silentReadJitter
+// Turn returns the turn of a daemon in a fleet: that of a watcher is its index, the others
+// are spread over the rest by a hash.
+func (d *Duties) Turn(id string, fleet int) int {
+	for i, w := range d.Watchers {
+		if w == id {
+			return i
+		}
 	}
-	if now < c.nextAt {
-		return false
+	others := max(1, fleet-len(d.Watchers))
+	return len(d.Watchers) + int(xxhash.Sum64String("read\x00"+id)%uint64(others))
+}
+
+// Answers holds when the store answers the reads of watchers at the latest, by the id of the
+// watcher.
+type Answers map[string]clock.Milli
+
+// ReadWait returns how long the next read of a watcher waits, so that the store answers one
+// watcher after the other, ReadInterval apart. Watchers whose next answer is not known start
+// reads at the same time and take their places in order of their ids.
+func (a Answers) ReadWait(now clock.Milli, d *Duties, self string) clock.Milli {
+	last, before := now, 0
+	for _, id := range d.Watchers {
+		at, known := a[id]
+		switch {
+		case id == self:
+		case known && at > now:
+			last = max(last, at)
+		case id < self:
+			before++
+		}
 	}
-	c.nextAt = now + silentReadInterval
-	return true
+	longest := ReadInterval * clock.Milli(len(d.Watchers)+1)
+	return min(longest, last-now+ReadInterval*clock.Milli(before+1))
 }
--- a/internal/node/mesh/metrics.go
+++ b/internal/node/mesh/metrics.go
@@ -53,7 +53,7 @@
 	n.meter.AddGauge("orders_offset", func() float64 { return float64(n.registry.End().Offset()) })
 	n.meter.AddGauge("store_era", func() float64 { return float64(n.registry.End().Era()) })
 	n.meter.AddGauge("orders_store_online", func() float64 { return gaugeValue(n.orderFollower.Online()) })
-	n.meter.AddGauge("store_watch_silence_seconds", func() float64 { return float64(n.watch.silence() / clock.Second) })
+	n.meter.AddGauge("store_watch_silence_seconds", func() float64 { return float64(n.watch.view.age() / clock.Second) })
 	n.meter.AddGauge("peers_known", func() float64 { return float64(len(n.table.Records())) })
 	n.meter.AddGauge("peers_linked", func() float64 { return float64(len(n.table.LinkedIDs())) })
 	n.meter.AddGauge("upstream_usable", func() float64 { return gaugeValue(n.upstream.unusableReason() == call.ReasonNone) })
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -83,7 +83,7 @@
 	n.table.Merge(records...)
 	n.peerFollower = feed.NewFollower(n.store, p.Topics().Peers, peerSink{table: n.table, log: log, onNew: n.logNewPeers}, log,
 		feed.WithStart(end), feed.WithBatchDelay(peerBatchDelay), feed.WithIdleStart(),
-		feed.WithReadHook(func() { n.watch.peersRead() }))
+		feed.WithReadHook(func(clock.Milli) { n.watch.peersRead() }))
 	n.buildServices()
 	return n, n.listen()
 }
@@ -173,7 +173,7 @@
 func (n *Node) buildServices() {
 	p := n.platform
 	n.orderFollower = feed.NewFollower(n.store, p.Topics().Directives, n.registry, n.log, feed.WithIdleStart(),
-		feed.WithReadWait(func() clock.Milli { return n.watch.readWait() }), feed.WithReadHook(func() { n.watch.recordRead() }))
+		feed.WithReadWait(func() clock.Milli { return n.watch.readWait() }), feed.WithReadHook(func(age clock.Milli) { n.watch.recordRead(age) }))
 	n.watch = newStoreWatch(n)
 	n.sync = &stateSync{
 		clock: n.clock, log: n.log, pool: n.pool, table: n.table, registry: n.registry, moves: n.moves, crashes: n.crashes,
--- a/internal/node/mesh/storeview.go
+++ b/internal/node/mesh/storeview.go
@@ -19,8 +19,9 @@
 
 	mu sync.Mutex
 	// readAt is the time of the last successful read of the orders by any daemon, zero if
-	// none is known.
+	// none is known. reader is the daemon that read then.
 	readAt clock.Milli
+	reader string
 	// lostAt has the daemons whose last call to the store failed, with the time of the
 	// latest report. That of this daemon is updated while it watches.
 	lostAt map[string]clock.Milli
@@ -59,11 +60,22 @@
 	return ok && v.clock.Now()-at < lossTTL
 }
 
-// recordRead records a successful read of the orders some time ago.
-func (v *storeView) recordRead(age clock.Milli) {
+// recordRead records a successful read of the orders by a daemon some time ago.
+func (v *storeView) recordRead(reader string, age clock.Milli) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.readAt = max(v.readAt, v.clock.Now()-age)
+	at := v.clock.Now() - age
+	if at > v.readAt {
+		v.readAt, v.reader = at, reader
+	}
+}
+
+// lastRead returns the time of the last successful read that is known, zero if none is, and
+// the daemon that read then.
+func (v *storeView) lastRead() (at clock.Milli, reader string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.readAt, v.reader
 }
 
 // age returns the time since the last successful read by any known daemon, or since the
@@ -81,7 +93,7 @@
 	defer v.mu.Unlock()
 	out := &wire.StoreView{Lost: v.isLostLocked(v.self)}
 	if v.readAt > 0 {
-		out.Read, out.AgeMs = true, float64(v.clock.Now()-v.readAt)
+		out.Read, out.AgeMs, out.Reader = true, float64(v.clock.Now()-v.readAt), v.reader
 	}
 	return out
 }
@@ -92,7 +104,7 @@
 		return
 	}
 	if w.GetRead() {
-		v.recordRead(max(0, clock.Milli(w.GetAgeMs())))
+		v.recordRead(w.GetReader(), max(0, clock.Milli(w.GetAgeMs())))
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/node/mesh/storewatch.go
+++ b/internal/node/mesh/storewatch.go
@@ -18,14 +18,6 @@
 )
 
 const (
-	// orderReadInterval is the average time between reads of the orders, over all
-	// watchers, while the store reports no new ones. The answers to the pending reads
-	// of all watchers may be lost; the first one that reads again then gets the
-	// update and passes it on to its peers.
-	orderReadInterval = clock.Second
-	// orderReadJitter is the width of the range around 1 of a random factor on the
-	// wait, so that daemons that started together don't read together.
-	orderReadJitter = 0.5
 	// watchInterval is the time between decisions on who follows the store.
 	watchInterval = 200 * clock.Millisecond
 	// firstWatchDelay and restartWatchDelay are how long a daemon waits after its start
@@ -62,11 +54,12 @@
 	// notify synchronises with peers, which compare the offset of the orders.
 	notify func(ctx context.Context, ids []string)
 	// sendNotice sends notices to peers.
-	sendNotice func(ctx context.Context, ids []string, silence clock.Milli)
+	sendNotice func(ctx context.Context, ids []string, answerIn clock.Milli)
 	// pullIfBehind gets the orders of a peer that has newer ones.
 	pullIfBehind func(now clock.Milli, id string, peer orderState)
-	// changed receives a value after the orders changed.
-	changed chan struct{}
+	// changed receives a value after the orders changed, noticeDue when notices are due.
+	changed   chan struct{}
+	noticeDue chan struct{}
 
 	startAt        clock.Milli
 	poll           watch.Poll
@@ -76,14 +69,17 @@
 	behindSince clock.Milli
 	// nextNoticeAt is when the next notices are due.
 	nextNoticeAt clock.Milli
-	// hasRead is set after a read by this daemon that is not a watcher, until it has sent
-	// notices.
+	// hasRead is set after a read by this daemon until it has sent notices.
 	hasRead atomic.Bool
 
 	mu       sync.Mutex
 	contact  watch.Contact
 	duties   watch.Duties
 	watching bool
+	// linked is the number of daemons with an open link, and this one.
+	linked int
+	// answers has the times at which the waiting reads of this daemon and other watchers end.
+	answers watch.Answers
 }
 
 func newStoreWatch(n *Node) *storeWatch {
@@ -96,9 +92,9 @@
 		clock: n.clock, log: n.log, self: n.announcer.ownRecord(), table: n.table, registry: n.registry,
 		orderFollower: n.orderFollower, peerFollower: n.peerFollower, announcer: n.announcer,
 		view: newStoreView(n.self.ID, n.clock), startAt: now + delay, changed: make(chan struct{}, 1),
+		noticeDue: make(chan struct{}, 1), answers: make(watch.Answers),
 		notify: func(context.Context, []string) {},
 	}
-	s.contact.Hear(s.startAt)
 	return s
 }
 
@@ -110,19 +106,34 @@
 func (s *storeWatch) run(ctx context.Context) error {
 	t := time.NewTicker(watchInterval.Duration())
 	defer t.Stop()
+	silence := time.NewTimer(watchInterval.Duration())
+	defer silence.Stop()
 	for {
+		if now := s.clock.Now(); now >= s.startAt {
+			s.readIfSilent(now)
+		}
+		// Between two ticks, so that a turn is not missed by up to a tick.
+		silence.Reset(s.untilNextRead().Duration())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-silence.C:
 		case <-s.changed:
 			s.notifyPeers(ctx)
+		case <-s.noticeDue:
+			// The synchronisation after a change says when the store was read, too.
+			if len(s.changed) == 0 || !s.isWatching() {
+				s.sendNotices(ctx, s.clock.Now())
+			}
 		case <-t.C:
 			s.announcer.handleEra(s.registry.End().Era())
 			s.discover()
 			if s.clock.Now() >= s.startAt {
 				s.update(ctx)
 				s.restartIfBehind()
-				s.sendNotices(ctx, s.clock.Now())
+				if now := s.clock.Now(); now >= s.nextNoticeAt {
+					s.sendNotices(ctx, now)
+				}
 			}
 		}
 	}
@@ -178,17 +189,17 @@
 	watching := slices.Contains(duties.Watchers, s.self.ID) || len(linked) <= 1
 	s.mu.Lock()
 	changed := watching != s.watching
-	s.duties, s.watching = duties, watching
+	s.duties, s.watching, s.linked = duties, watching, max(1, len(linked))
 	s.mu.Unlock()
 	if changed {
-		s.log.Info().Bool("watching", watching).Int("linked", len(linked)).Float64("store_age_ms", float64(age)).Msg("store_watch")
+		_, reader := s.view.lastRead()
+		s.log.Info().Bool("watching", watching).Int("linked", len(linked)).Float64("store_age_ms", float64(age)).Str("reader", reader).Msg("store_watch")
 	}
 	s.orderFollower.SetIdle(!watching)
 	s.peerFollower.SetIdle(!watching)
 	if watching {
 		return
 	}
-	s.pollIfSilent(now, rand.Float64())
 	if s.poll.Due(now, age, len(linked), rand.Float64()) {
 		s.log.Warn().Str("reason", "store_state_old").Float64("store_age_ms", float64(age)).Msg("store_polled")
 		s.orderFollower.Poll()
@@ -232,14 +243,14 @@
 	return s.watching
 }
 
-// readWait returns how long a read of the orders may wait for new ones. It grows with the
-// number of watchers, so that the rate over all of them stays the same.
+// readWait returns how long the read of the orders that starts now waits for new ones.
 func (s *storeWatch) readWait() clock.Milli {
+	now := s.clock.Now()
 	s.mu.Lock()
-	n := max(1, len(s.duties.Watchers))
-	s.mu.Unlock()
-	jitter := 1 + orderReadJitter*(rand.Float64()-0.5)
-	return orderReadInterval * clock.Milli(float64(n)*jitter)
+	defer s.mu.Unlock()
+	wait := s.answers.ReadWait(now, &s.duties, s.self.ID)
+	s.answers[s.self.ID] = now + wait
+	return wait
 }
 
 // notifyPeers notifies peers of new orders if this daemon is a watcher or a relay: those of
--- a/internal/node/mesh/watchnotice.go
+++ b/internal/node/mesh/watchnotice.go
@@ -12,20 +12,26 @@
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
 
-// watchNoticeTimeout limits how long one notice waits for its reply.
-const watchNoticeTimeout = watch.NoticeInterval
+const (
+	// watchNoticeTimeout limits how long one notice waits for its reply.
+	watchNoticeTimeout = watch.NoticeInterval
+	// minForwardedAdvance is the difference from the read known before from which a relay
+	// passes on a later one at once.
+	minForwardedAdvance = 200 * clock.Millisecond
+)
 
 // noticeSender sends notices to peers, without waiting for the replies.
 type noticeSender struct {
 	sync *stateSync
 }
 
-// send sends a notice to some peers. The silence is that of the sender.
-func (n *noticeSender) send(ctx context.Context, ids []string, silence clock.Milli) {
+// send sends a notice to some peers. answerIn is the time until the store answers the read of
+// the sender at the latest, zero if it has none that waits.
+func (n *noticeSender) send(ctx context.Context, ids []string, answerIn clock.Milli) {
 	s := n.sync
 	payload, err := proto.Marshal(&wire.WatchNotice{
 		Member: s.ownRecord().ID, OrdersEnd: int64(s.registry.End()), OrdersHash: s.registry.Hash(),
-		Store: s.view.encode(), SilenceMs: float64(silence),
+		Store: s.view.encode(), AnswerInMs: float64(answerIn),
 	})
 	if err != nil {
 		s.log.Error().Err(err).Msg("notice_not_encoded")
@@ -61,64 +67,109 @@
 		return nil, err
 	}
 	now := s.clock.Now()
-	s.hear(now - max(0, clock.Milli(n.GetSilenceMs())))
+	before, _ := s.view.lastRead()
 	s.view.observe(n.GetMember(), n.GetStore())
+	s.recordAnswerIn(n.GetMember(), now, clock.Milli(n.GetAnswerInMs()))
+	if after, _ := s.view.lastRead(); after-before >= minForwardedAdvance && s.isRelay() && s.isFromOtherCentre(n.GetMember()) {
+		s.scheduleNotice()
+	}
 	s.pullIfBehind(now, n.GetMember(), orderState{end: feed.Position(n.GetOrdersEnd()), hash: n.GetOrdersHash()})
 	return nil, nil
 }
 
-// hear records that a daemon followed the store at an instant.
-func (s *storeWatch) hear(at clock.Milli) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.contact.Hear(at)
+func (s *storeWatch) isFromOtherCentre(id string) bool {
+	r, ok := s.table.Lookup(id)
+	return ok && r.Centre != s.self.Centre
 }
 
-// silence returns the time since a daemon is known to have followed the store, zero if this
-// one does.
-func (s *storeWatch) silence() clock.Milli {
+// recordAnswerIn records when the store answers the read of a watcher at the latest.
+func (s *storeWatch) recordAnswerIn(id string, now, answerIn clock.Milli) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.watching {
-		return 0
+	if answerIn > 0 {
+		s.answers[id] = now + answerIn
+	} else {
+		delete(s.answers, id)
 	}
-	return s.contact.Silence(s.clock.Now())
 }
 
-// sendNotices sends notices if they are due and this daemon is a watcher, a relay that hears
-// from one, or has just read the store itself.
+// scheduleNotice makes the loop send notices at once.
+func (s *storeWatch) scheduleNotice() {
+	select {
+	case s.noticeDue <- struct{}{}:
+	default:
+	}
+}
+
+// sendNotices sends notices if this daemon has just read the store, is a watcher that has sent
+// none for NoticeInterval, or a relay that knows of a recent read.
 func (s *storeWatch) sendNotices(ctx context.Context, now clock.Milli) {
-	silence := s.silence()
 	hasRead := s.hasRead.Swap(false)
-	if now < s.nextNoticeAt && !hasRead {
-		return
-	}
 	switch {
-	case s.isWatching():
-		s.sendNotice(ctx, s.idsToNotify(), silence)
-	case hasRead, s.isRelay() && silence < watch.SilentAfter:
-		s.sendNotice(ctx, s.centreIDs(), silence)
+	case hasRead, s.isWatching() && now >= s.nextNoticeAt:
+		s.sendNotice(ctx, s.idsToNotify(), s.answerIn(now))
+	case s.isRelay() && s.view.age() < watch.SilentAfter:
+		// What other data centres have read is passed on within the own one.
+		s.sendNotice(ctx, s.centreIDs(), s.answerIn(now))
 	default:
 		return
 	}
 	s.nextNoticeAt = now + watch.NoticeInterval
 }
 
-// recordRead records a successful read of the orders by this daemon.
-func (s *storeWatch) recordRead() {
-	s.view.recordRead(0)
-	s.hear(s.clock.Now())
-	s.hasRead.Store(!s.isWatching())
+// answerIn returns the time until the store answers the waiting read of this daemon at the
+// latest, zero if it has none.
+func (s *storeWatch) answerIn(now clock.Milli) clock.Milli {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(0, s.answers[s.self.ID]-now)
 }
 
-// pollIfSilent reads the store once if no daemon that follows it was heard for too long.
-func (s *storeWatch) pollIfSilent(now clock.Milli, random float64) {
+// recordRead records a successful read of the orders by this daemon, and since when the store
+// may have changed.
+func (s *storeWatch) recordRead(age clock.Milli) {
+	s.view.recordRead(s.self.ID, age)
+	s.mu.Lock()
+	delete(s.answers, s.self.ID)
+	s.mu.Unlock()
+	s.hasRead.Store(true)
+	s.scheduleNotice()
+}
+
+// nextRead returns when this daemon has to read the store itself.
+func (s *storeWatch) nextRead() clock.Milli {
+	at, _ := s.view.lastRead()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contact.NextRead(max(at, s.startAt), s.duties.Turn(s.self.ID, s.linked), s.linked)
+}
+
+// untilNextRead returns the time until nextRead, and that of a tick if it has passed.
+func (s *storeWatch) untilNextRead() clock.Milli {
+	if in := s.nextRead() - s.clock.Now(); in > 0 {
+		return in
+	}
+	return watchInterval
+}
+
+// readIfSilent reads the store once if no recent read by any daemon is known. Reads of a
+// state that has been lost for longer are left to watch.Poll.
+func (s *storeWatch) readIfSilent(now clock.Milli) {
+	age := s.view.age()
+	if now < s.nextRead() || age >= watch.StaleAfter {
+		return
+	}
 	s.mu.Lock()
-	due := s.contact.ReadDue(now, random)
-	silence := s.contact.Silence(now)
+	s.contact.RecordRead(now)
+	watching := s.watching
 	s.mu.Unlock()
-	if due {
-		s.log.Warn().Str("reason", "no_notice").Float64("silence_ms", float64(silence)).Msg("store_polled")
+	_, reader := s.view.lastRead()
+	s.log.Warn().Str("reason", "no_answer").Float64("store_age_ms", float64(age)).Str("reader", reader).
+		Bool("watching", watching).Msg("store_polled")
+	if !watching {
 		s.orderFollower.Poll()
+	} else if !s.orderFollower.Failing() {
+		// The read that waits may have lost its connection.
+		s.orderFollower.Restart()
 	}
 }
