mesh: send only the records of daemons that differ

Cause: whenever the hashes over all records differed, a reply had all records, also the reply to a daemon that only announced a change of its own. While many daemons change, each got all records from all others.

--- a/internal/fleet/peers/table.go
+++ b/internal/fleet/peers/table.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 )
 
@@ -15,8 +17,12 @@
 	targets map[string][]call.Target
 	records []Record
 	hash    uint64
+	buckets [HashBuckets]uint32
 }
 
+// HashBuckets is the number of buckets of the records by the hash of their id.
+const HashBuckets = 256
+
 // Table holds the newest record of each daemon. It is safe for concurrent use.
 type Table struct {
 	version atomic.Uint64
@@ -129,6 +135,32 @@
 	return t.current.Load().hash
 }
 
+// BucketHashes returns a hash of the announcements in each bucket.
+func (t *Table) BucketHashes() []uint32 {
+	buckets := t.current.Load().buckets
+	return buckets[:]
+}
+
+// Differing returns the records of the buckets whose hash is not the one in others, all of
+// them if others does not have HashBuckets hashes.
+func (t *Table) Differing(others []uint32) []Record {
+	s := t.current.Load()
+	if len(others) != HashBuckets {
+		return s.records
+	}
+	var out []Record
+	for i := range s.records {
+		if b := bucketOf(s.records[i].ID); s.buckets[b] != others[b] {
+			out = append(out, s.records[i])
+		}
+	}
+	return out
+}
+
+func bucketOf(id string) int {
+	return int(xxhash.Sum64String(id) % HashBuckets)
+}
+
 // Targets returns the upstreams of a service that can receive calls: those with a
 // known instance and an open link that aren't leaving. The caller must not modify
 // the slice.
@@ -146,7 +178,9 @@
 	s := &snapshot{targets: make(map[string][]call.Target)}
 	for _, r := range t.records {
 		s.records = append(s.records, r)
-		s.hash ^= r.fingerprint()
+		f := r.fingerprint()
+		s.hash ^= f
+		s.buckets[bucketOf(r.ID)] ^= uint32(f ^ f>>32)
 	}
 	slices.SortFunc(s.records, func(a, b Record) int { return cmp.Compare(a.ID, b.ID) })
 	for i := range s.records {
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 
 	"github.com/rs/zerolog"
@@ -33,6 +32,9 @@
 	// mergeInterval is the shortest time between pulls of orders that differ at the same
 	// end.
 	mergeInterval = 500 * clock.Millisecond
+	// peerPullInterval is the shortest time between requests for records of daemons that
+	// differ.
+	peerPullInterval = 500 * clock.Millisecond
 	// syncTimeout limits one synchronisation.
 	syncTimeout = clock.Second
 )
@@ -63,6 +65,8 @@
 	transfer *orderTransfer
 	// lastMergeAt is when orders that differ at the same end were last pulled, in ms.
 	lastMergeAt atomic.Int64
+	// lastPeerPullAt is when records of daemons that differ were last requested, in ms.
+	lastPeerPullAt atomic.Int64
 }
 
 // Serve implements suture.Service.
@@ -111,34 +115,50 @@
 	return others[rand.IntN(len(others))], true
 }
 
-// syncWith sends a summary of the local state to a peer and applies what it returns.
+// syncWith sends a summary of the local state to a peer and applies what it returns. It gets
+// the records of daemons that differ, too, unless it got some a short time ago.
 func (s *stateSync) syncWith(ctx context.Context, id string) {
+	if !s.exchange(ctx, id, nil) {
+		return
+	}
+	now, last := s.clock.Now(), s.lastPeerPullAt.Load()
+	if now-clock.Milli(last) >= peerPullInterval && s.lastPeerPullAt.CompareAndSwap(last, int64(now)) {
+		s.exchange(ctx, id, s.table.BucketHashes())
+	}
+}
+
+// exchange sends a summary of the local state to a peer and applies what it returns. With the
+// hashes of the own records, this includes the records that differ. It reports whether there
+// are some that it does not have yet.
+func (s *stateSync) exchange(ctx context.Context, id string, buckets []uint32) (peersDiffer bool) {
 	self := s.ownRecord()
 	now := s.clock.Now()
 	req := &wire.ShareRequest{
 		Member: self.ID, OrdersEnd: int64(s.registry.End()), OrdersHash: s.registry.Hash(), PeersHash: s.table.Hash(), Moves: s.moves.encode(now),
 		Self: self.Encode(), Store: s.view.encode(), CrashesHash: s.crashes.hash(),
+		PeersBuckets: buckets,
 	}
 	payload, err := proto.Marshal(req)
 	if err != nil {
 		s.log.Error().Err(err).Msg("share_not_encoded")
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout.Duration())
 	defer cancel()
 	answer, err := s.pool.Control(ctx, id, wire.ControlKind_CONTROL_KIND_SHARE, payload)
 	if err != nil {
 		s.log.Debug().Str("peer", id).Err(err).Msg("share_failed")
-		return
+		return false
 	}
 	reply := new(wire.ShareReply)
 	if err := proto.Unmarshal(answer, reply); err != nil {
 		s.log.Warn().Str("peer", id).Err(err).Msg("share_malformed")
-		return
+		return false
 	}
 	s.view.observe(id, reply.GetStore())
 	s.applyReply(id, reply)
 	s.onReply()
+	return reply.GetPeersDiffer()
 }
 
 // applyReply applies the state that a peer returned.
@@ -164,53 +184,6 @@
 	s.table.Merge(r)
 }
 
-// applyOrders applies the orders that a peer returned, or gets them if they are too large
-// for its reply.
-func (s *stateSync) applyOrders(id string, r *wire.ShareReply) {
-	end, ownEnd := feed.Position(r.GetOrdersEnd()), s.registry.End()
-	switch {
-	case r.GetOrdersWhole():
-		s.applyWholeOrders(r)
-		return
-	case end > ownEnd:
-		s.pollOrders()
-		s.transfer.requestUnlessRead(id, end)
-	case end == ownEnd && r.GetOrdersDiffer():
-		// The store can't resolve this: it was restored from a copy.
-		s.transfer.request(id)
-	default:
-		return
-	}
-	s.log.Info().Bool("whole", false).Stringer("end", end).Stringer("own_end", ownEnd).Msg("orders_from_peer")
-}
-
-// applyWholeOrders applies all orders of a peer, if they are not older than the own ones.
-func (s *stateSync) applyWholeOrders(r *wire.ShareReply) {
-	end, ownEnd := feed.Position(r.GetOrdersEnd()), s.registry.End()
-	switch {
-	case end < ownEnd:
-		return
-	case end == ownEnd:
-		s.registry.Merge(decodeOrders(r.GetOrders()))
-	default:
-		s.registry.ReplaceFromPeer(withoutRemoved(decodeOrders(r.GetOrders())), end)
-	}
-	s.log.Info().Bool("whole", true).Stringer("end", end).Stringer("own_end", ownEnd).Msg("orders_from_peer")
-}
-
-func decodeOrders(in []*wire.OrderRecord) []feed.Item {
-	out := make([]feed.Item, 0, len(in))
-	for _, o := range in {
-		out = append(out, feed.Item{Key: o.GetKey(), Value: o.GetValue(), Position: feed.Position(o.GetOffset()), Removed: o.GetRemoved()})
-	}
-	return out
-}
-
-// withoutRemoved returns the records of keys that are in force.
-func withoutRemoved(records []feed.Item) []feed.Item {
-	return slices.DeleteFunc(records, func(r feed.Item) bool { return r.Removed })
-}
-
 // handleRequest answers a peer's synchronisation with the state that the peer lacks.
 func (s *stateSync) handleRequest(_ context.Context, _ link.Peer, payload []byte) ([]byte, error) {
 	req := new(wire.ShareRequest)
@@ -224,11 +197,7 @@
 	s.pullIfBehind(now, req.GetMember(), orderState{end: feed.Position(req.GetOrdersEnd()), hash: req.GetOrdersHash()})
 	s.moves.merge(now, req.GetMoves())
 	reply := &wire.ShareReply{OrdersEnd: int64(s.registry.End()), Moves: s.moves.encode(now), Store: s.view.encode()}
-	if req.GetPeersHash() != s.table.Hash() {
-		for _, r := range s.table.Records() {
-			reply.Peers = append(reply.Peers, r.Encode())
-		}
-	}
+	s.addPeers(reply, req)
 	if req.GetCrashesHash() != s.crashes.hash() {
 		reply.Crashes = s.crashes.encode()
 	}
@@ -241,52 +210,18 @@
 	return proto.Marshal(reply)
 }
 
-// orderState summarises the orders of a daemon.
-type orderState struct {
-	end  feed.Position
-	hash uint64
-}
-
-// differs reports whether the orders of a peer differ from the own ones at the same end, as
-// after a restore of the store.
-func (s *stateSync) differs(peer orderState) bool {
-	return peer.end == s.registry.End() && peer.hash != 0 && peer.hash != s.registry.Hash()
-}
-
-// pullIfBehind gets the orders of a peer that has newer ones. Those that differ at the same
-// end may do so until both have settled, so they are not pulled at each message.
-func (s *stateSync) pullIfBehind(now clock.Milli, id string, peer orderState) {
-	last := clock.Milli(s.lastMergeAt.Load())
-	mergeDue := now-last >= mergeInterval
+// addPeers adds the records of daemons that differ from the requester's, or says only that
+// some do if the request does not tell which.
+func (s *stateSync) addPeers(reply *wire.ShareReply, req *wire.ShareRequest) {
 	switch {
-	case peer.end > s.registry.End():
-	case s.differs(peer) && mergeDue && s.lastMergeAt.CompareAndSwap(int64(last), int64(now)):
+	case req.GetPeersHash() == s.table.Hash():
+	case len(req.GetPeersBuckets()) == 0:
+		reply.PeersDiffer = true
 	default:
-		return
-	}
-	s.puller.request(id)
-}
-
-// addOrders adds all orders to a reply, or says only that there are some if they are too
-// large.
-func (s *stateSync) addOrders(reply *wire.ShareReply) {
-	all, size := encodeOrders(s.registry)
-	reply.OrdersEnd = all.GetOrdersEnd()
-	reply.OrdersDiffer = true
-	if size <= maxSharedOrderBytes {
-		reply.OrdersWhole, reply.Orders = true, all.GetOrders()
-	}
-}
-
-// encodeOrders returns all orders and the size of their keys and values.
-func encodeOrders(reg *order.Registry) (all *wire.ShareReply, size int) {
-	records, end := reg.Records()
-	all = &wire.ShareReply{OrdersEnd: int64(end), OrdersWhole: true}
-	for _, r := range records {
-		size += len(r.Key) + len(r.Value)
-		all.Orders = append(all.Orders, &wire.OrderRecord{Key: r.Key, Value: r.Value, Offset: int64(r.Position), Removed: r.Removed})
+		for _, r := range s.table.Differing(req.GetPeersBuckets()) {
+			reply.Peers = append(reply.Peers, r.Encode())
+		}
 	}
-	return all, size
 }
 
 // syncWithAll starts a synchronisation with all linked peers and does not wait for it.
@@ -319,6 +254,8 @@
 	id   string
 }
 
+// run leaves records of daemons that differ to the synchronisations with random peers: after
+// a change, all daemons would get them from all others.
 func (p *peerSync) run(ctx context.Context) {
-	p.sync.syncWith(ctx, p.id)
+	p.sync.exchange(ctx, p.id, nil)
 }
