entry: refuse late calls of a stopping daemon

Cause: connections that were accepted before are served for 0.5 s more, and calls on them got their full deadline, though the daemon ends before it. Ruled out: connections accepted after the notice (none are) and idle ones at the end (they are closed).

Change: from the end of the notice on, a call whose deadline is after the end of the daemon is refused at once as not run, so the caller can send it elsewhere. Calls that end before are served as before.

TestLateCallOfStoppingDaemonIsRefused: a connection that was open before the stop sends a booking at 2.8 s, with a deadline of 5 s, to an upstream that takes 4 s. On the old code the stop interrupts it (invariant graceful_stop violated), now it gets 503 within 0.5 s and has not run.

--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -146,7 +146,7 @@
 	n.entry = entry.New(n.self, n.clock, n.pool, n.table, &rules{registry: n.registry, moves: n.moves},
 		entry.WithLogger(n.log), entry.WithProtocol(p.CallerProtocol(n.routes)), entry.WithNoTargetReason(call.ReasonNoTarget),
 		entry.WithPicker(newPicker), entry.WithRetrier(n.newRetrier), entry.WithProbeRate(0), entry.WithBodyLimits(maxBufferedBodyBytes, maxInlineBodyBytes),
-		entry.WithSummaryHandler(n.recordCall), entry.WithQuarantine(n.crashes))
+		entry.WithSummaryHandler(n.recordCall), entry.WithQuarantine(n.crashes), entry.WithLatestDeadline(n.lifecycle.latestDeadline))
 	self := peers.Record{
 		ID: n.self.ID, Incarnation: n.self.Incarnation, Seq: 1,
 		Centre: s.Centre, Region: s.Region, Service: s.Service,
--- a/internal/node/mesh/stop.go
+++ b/internal/node/mesh/stop.go
@@ -33,6 +33,14 @@
 // lifecycle holds the part of readiness that does not depend on the configuration.
 type lifecycle struct {
 	stopping atomic.Bool
+	// endsAt is the end of a planned stop in ms, set while only connections that were
+	// accepted before are served.
+	endsAt atomic.Int64
+}
+
+// latestDeadline returns the latest deadline of a call that is accepted, zero if there is none.
+func (l *lifecycle) latestDeadline() clock.Milli {
+	return clock.Milli(l.endsAt.Load())
 }
 
 // checkReady returns why the daemon can't serve callers, or nil.
@@ -61,6 +69,7 @@
 	time.Sleep(syncSendDelay.Duration())
 	n.guard.StartDrain()
 	time.Sleep((readinessNotice - guardAcceptDuration - syncSendDelay).Duration())
+	n.lifecycle.endsAt.Store(int64(startedAt + n.settings.StopTimeout - exitReserve))
 	entryErr := n.callerServer.Stop(ctx)
 	interrupted := n.guard.AwaitDrain(ctx)
 	elapsed := n.clock.Now() - startedAt
--- a/internal/path/entry/entry.go
+++ b/internal/path/entry/entry.go
@@ -80,6 +80,7 @@
 	maxInlineBytes   int
 	newPicker        func(*rand.Rand) Picker
 	quarantine       Quarantine
+	latestDeadline   func() clock.Milli
 	mu               sync.RWMutex
 	services         map[string]*service
 	idMu             sync.Mutex
@@ -113,6 +114,13 @@
 	return func(e *Entry) { e.newRetrier = f }
 }
 
+// WithLatestDeadline sets a function that returns the latest deadline of a call that is
+// accepted, zero if there is none: the end of the daemon, if that is soon. A call with a later
+// one could be cut off without a response.
+func WithLatestDeadline(f func() clock.Milli) Option {
+	return func(e *Entry) { e.latestDeadline = f }
+}
+
 // WithSeed sets the seed of request ids and of the pickers' random numbers, which
 // makes both reproducible.
 func WithSeed(seed uint64) Option {
@@ -138,6 +146,7 @@
 		maxInlineBytes:   link.MaxInlineBodyBytes,
 		newPicker:        func(r *rand.Rand) Picker { return pick.New(r) },
 		quarantine:       noQuarantine{},
+		latestDeadline:   func() clock.Milli { return 0 },
 		services:         make(map[string]*service),
 	}
 	for _, o := range opts {
@@ -156,6 +165,10 @@
 		e.reject(w, r, reason)
 		return
 	}
+	if latest := e.latestDeadline(); latest > 0 && r.Deadline > latest {
+		e.reject(w, r, call.ReasonLeaving)
+		return
+	}
 	svc := e.service(r.Service)
 	if svc.hasNoTargets(now, e.roster) {
 		e.reject(w, r, e.noTargetReason)
