--- a/internal/fleet/watch/contact.go
+++ b/internal/fleet/watch/contact.go
@@ -40,7 +40,8 @@
 }
 
 // NextRead returns when the daemon with this turn has to read the store, if no later answer
-// than the one at answeredAt becomes known.
+// than the one at answeredAt becomes known. Another answer than before makes its next read the
+// first one.
 func (c *Contact) NextRead(answeredAt clock.Milli, turn, fleet int) clock.Milli {
 	if answeredAt != c.answeredAt {
 		c.answeredAt, c.reads = answeredAt, 0
--- a/internal/moves/canary/answers.go
+++ b/internal/moves/canary/answers.go
@@ -186,11 +186,11 @@
 }
 
 func (e *Evidence) String() string {
-	limit := ""
+	slow := "were slow"
 	if e.SlowFrom > 0 {
-		limit = fmt.Sprintf(" or took over %.0f ms", float64(e.SlowFrom))
+		slow = fmt.Sprintf("took over %.0f ms", float64(e.SlowFrom))
 	}
-	return fmt.Sprintf("%s: %d of %d answers failed, were slow%s, %.1f expected", routeLabel(e.Route), e.Bad, e.Answers, limit, e.Expected)
+	return fmt.Sprintf("%s: %d of %d answers failed or %s, %.1f expected", routeLabel(e.Route), e.Bad, e.Answers, slow, e.Expected)
 }
 
 func routeLabel(route string) string {
--- a/internal/node/mesh/watchnotice.go
+++ b/internal/node/mesh/watchnotice.go
@@ -55,7 +55,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchNoticeTimeout.Duration())
 	defer cancel()
-	// A peer that does not reply reads the store itself once it gets no notices.
+	// A peer that gets no notices reads the store itself.
 	_, _ = n.pool.Control(ctx, n.id, controlWatch, n.payload)
 }
 
