canary: judge failures by themselves, at the final load

Cause: the version fails under load, a tenth of its calls. Failures were judged together with slow answers, whose expected rate is at least 3 in 100, without the worst of four upstreams. And at shares of 0.2 and 0.35, the upstreams of a service with four got 0.8 and 0.7 of their load after the move. Ruled out: counts that are missing (170 answers were known).

Change: failures alone are a second criterion with a lower expected rate, and two upstreams with failures are enough. The share grows from 0.095 to a quarter for two steps, then to all, so upstreams get their final load early.

--- a/internal/moves/canary/answers.go
+++ b/internal/moves/canary/answers.go
@@ -23,31 +23,57 @@
 	// minMedianCalls is the number of calls of a period from which their median counts
 	// beside that of all calls.
 	minMedianCalls = 20
-	// minBadRate is the rate of bad answers that is assumed of the old version at least, as
-	// a good new one has slow answers too while it is cold.
-	minBadRate = 0.03
-	// minBadMargin is the difference between the rate of bad answers and the expected rate
-	// from which the version is rolled back.
-	minBadMargin = 0.08
-	// rollbackProbability is the probability that a version as good as the old one has so
-	// many bad answers, below which it is rolled back.
-	rollbackProbability = 1e-3
-	// suspectRate is the rate of bad answers of an assumed bad version. A version whose
-	// answers are more likely at this rate than at the expected one gets no larger share.
-	suspectRate = 0.2
-	// minRouteBad is the number of bad answers on one route from which it makes the version
-	// suspect.
-	minRouteBad = 2
+	// minSuspectBad is the number of bad answers on one route, or of failures, from which the
+	// version can be suspect.
+	minSuspectBad = 2
 	// outlierProbability is the probability of an upstream's bad answers at the rate of the
 	// others, below which its VM is assumed to be slow. maxOutlierFraction limits the
 	// fraction of the upstreams that are left out for that.
 	outlierProbability = 0.02
 	maxOutlierFraction = 0.25
+	// minSlowUpstreams is the number of upstreams that must have bad answers, if the version has
+	// so many. Two with slow VMs may be the first ones that get calls.
+	minSlowUpstreams = 3
 	// minUpstreamAnswers is the number of answers from which an upstream counts in the
 	// comparison of how many upstreams have bad answers.
 	minUpstreamAnswers = 3
 )
 
+// criterion says which answers are bad and how many of them are evidence.
+type criterion struct {
+	// count counts the answers and the bad ones among them. Calls are slow from a bucket on.
+	count func(s *callStats, slowFrom int) badRate
+	// minRate is the rate of bad answers that is assumed of the old version at least.
+	minRate float64
+	// rollbackProbability is the probability that a version as good as the old one has so
+	// many bad answers, below which it is rolled back.
+	rollbackProbability float64
+	// mostAreOfVMs is set if most bad answers of good versions come from single slow VMs. The
+	// upstream with most bad answers then never counts, and half of them must have some.
+	mostAreOfVMs bool
+	// minMargin is the difference between the rate of bad answers and the expected rate from
+	// which the version is rolled back.
+	minMargin float64
+	// suspectRate is the rate of bad answers of an assumed bad version. A version whose
+	// answers are more likely at this rate than at the expected one gets no larger share.
+	suspectRate float64
+	// minSuspectBad is the number of bad answers on all routes from which the version can be
+	// suspect.
+	minSuspectBad uint64
+}
+
+var (
+	// failedOrSlow covers all bad answers. A good version that is cold has slow ones too.
+	failedOrSlow = criterion{
+		count: countFailedOrSlow, minRate: 0.03, rollbackProbability: 1e-3, minMargin: 0.08, suspectRate: 0.2, mostAreOfVMs: true,
+	}
+	// failed covers failures alone. Good versions have few, so a smaller rate is evidence:
+	// some versions fail only under load, and then only a part of their calls.
+	failed = criterion{
+		count: countFailed, minRate: 0.01, rollbackProbability: 5e-3, minMargin: 0.05, suspectRate: 0.1, minSuspectBad: minSuspectBad,
+	}
+)
+
 // badBaseline describes the old version's answers on one route: from which bucket on calls
 // are slow, and which rate of bad answers is expected.
 type badBaseline struct {
@@ -58,14 +84,10 @@
 	short bool
 }
 
-// noBaseline is used for all routes if the old version has had no calls: only failures are
-// bad then.
-var noBaseline = badBaseline{slowFrom: call.LatencyBuckets, rate: minBadRate}
-
 // badBaselines returns the baseline of each route. history has the old version's calls from
 // before the order too, period those of the period for which the new version is judged: a
 // slow period of both versions does not count against the new one.
-func badBaselines(history, period map[string]*callStats) map[string]badBaseline {
+func (c *criterion) badBaselines(history, period map[string]*callStats) map[string]badBaseline {
 	out := make(map[string]badBaseline)
 	var sum badRate
 	for route, h := range history {
@@ -79,15 +101,17 @@
 		b := badBaseline{slowFrom: nearestBucket(max(slowAnswerRatio*median, median+slowMargin))}
 		b.short = slowAnswerRatio*median < median+slowMargin
 		out[route] = b
-		sum.add(h, b.slowFrom)
+		n := c.count(h, b.slowFrom)
+		sum.answers += n.answers
+		sum.bad += n.bad
 	}
-	prior := sum.smoothed(minBadRate, 1)
+	prior := sum.smoothed(c.minRate, 1)
 	for route, b := range out {
-		b.rate = newBadRate(history[route], b.slowFrom).smoothed(prior, priorCalls)
+		b.rate = c.count(history[route], b.slowFrom).smoothed(prior, priorCalls)
 		if p := period[route]; p != nil {
-			b.rate = newBadRate(p, b.slowFrom).smoothed(b.rate, priorCalls)
+			b.rate = c.count(p, b.slowFrom).smoothed(b.rate, priorCalls)
 		}
-		b.rate = max(b.rate, minBadRate)
+		b.rate = max(b.rate, c.minRate)
 		out[route] = b
 	}
 	return out
@@ -98,13 +122,16 @@
 	answers, bad uint64
 }
 
-func newBadRate(s *callStats, slowFrom int) badRate {
-	return badRate{answers: s.answers(slowFrom), bad: s.bad(slowFrom)}
+// countFailedOrSlow counts failed calls, slow ones, and those that were cut off or are in
+// progress after a time at which they are slow. Of others that were cut off or are in progress
+// it is not known whether they are bad.
+func countFailedOrSlow(s *callStats, slowFrom int) badRate {
+	unanswered := s.cutOff.CountFrom(slowFrom) + s.running.CountFrom(slowFrom)
+	return badRate{answers: s.calls + unanswered, bad: s.failed + s.answered.CountFrom(slowFrom) + unanswered}
 }
 
-func (r *badRate) add(s *callStats, slowFrom int) {
-	r.answers += s.answers(slowFrom)
-	r.bad += s.bad(slowFrom)
+func countFailed(s *callStats, _ int) badRate {
+	return badRate{answers: s.calls, bad: s.failed}
 }
 
 // smoothed returns the rate, drawn to a prior one with the weight of some calls.
@@ -121,22 +148,11 @@
 	return b
 }
 
-// bad returns the number of bad answers: failed calls, slow ones, and those that were cut
-// off or are in progress after a time at which they are slow.
-func (s *callStats) bad(slowFrom int) uint64 {
-	return s.failed + s.answered.CountFrom(slowFrom) + s.cutOff.CountFrom(slowFrom) + s.running.CountFrom(slowFrom)
-}
-
-// answers returns the number of calls of which it is known whether they are bad.
-func (s *callStats) answers(slowFrom int) uint64 {
-	return s.calls + s.cutOff.CountFrom(slowFrom) + s.running.CountFrom(slowFrom)
-}
-
 // answerCount counts answers of the new version and the bad ones among them, beside the
 // number of bad ones expected of the old version.
 type answerCount struct {
-	answers, bad uint64
-	expected     float64
+	badRate
+	expected float64
 }
 
 func (c *answerCount) add(other answerCount) {
@@ -165,25 +181,17 @@
 	// routes.
 	SlowFrom clock.Milli
 	// Probability is the probability that a version as good as the old one has so many bad
-	// answers, without the upstream that has most. It is 1 if the bad answers come from a
-	// minority of the upstreams.
+	// answers, without the upstreams that are left out. It is 1 if the bad answers come from
+	// too few upstreams.
 	Probability float64
-	// margin is the excess of the rate, without the upstream that has most.
-	margin float64
-	// logOdds is the logarithm of the ratio of the likelihoods of the answers at suspectRate
-	// and at the expected rate, without the outliers among the upstreams.
-	logOdds float64
+	// conclusive and suspect are set if the version is to be rolled back, or its answers are
+	// more likely those of a bad one.
+	conclusive, suspect bool
 }
 
-func (e *Evidence) isConclusive() bool {
-	return e.Probability < rollbackProbability && e.margin >= minBadMargin
-}
+func (e *Evidence) isConclusive() bool { return e.conclusive }
 
-// isSuspect reports whether the answers are more likely those of a bad version. One bad
-// answer on a route with few calls says nothing.
-func (e *Evidence) isSuspect() bool {
-	return e.logOdds > 0 && (e.Route == "" || e.Bad >= minRouteBad)
-}
+func (e *Evidence) isSuspect() bool { return e.suspect }
 
 func (e *Evidence) String() string {
 	slow := "were slow"
@@ -225,18 +233,19 @@
 
 // evidence returns the evidence on all routes together and on each of them, the first
 // being that on all routes.
-func (c statsByKey) evidence(newUpstreams int, baselines map[string]badBaseline) verdict {
+func (c *criterion) evidence(stats statsByKey, newUpstreams int, baselines map[string]badBaseline) verdict {
 	all := make(map[string]answerCount)
 	byRoute := make(map[string]map[string]answerCount)
-	for k, s := range c {
+	for k, s := range stats {
 		b, ok := baselines[k.route]
 		if len(baselines) == 0 {
-			b, ok = noBaseline, true
+			// The old version has had no calls: only failures are bad.
+			b, ok = badBaseline{slowFrom: call.LatencyBuckets, rate: c.minRate}, true
 		}
 		if !k.isNew || !ok {
 			continue
 		}
-		n := answerCount{answers: s.answers(b.slowFrom), bad: s.bad(b.slowFrom)}
+		n := answerCount{badRate: c.count(&s, b.slowFrom)}
 		n.expected = float64(n.answers) * b.rate
 		if byRoute[k.route] == nil {
 			byRoute[k.route] = make(map[string]answerCount)
@@ -250,9 +259,9 @@
 		all[k.target] = sum
 	}
 	out := make(verdict, 0, 1+len(byRoute))
-	out = append(out, newEvidence("", all, newUpstreams))
+	out = append(out, c.newEvidence("", all, newUpstreams))
 	for route, byTarget := range byRoute {
-		e := newEvidence(route, byTarget, newUpstreams)
+		e := c.newEvidence(route, byTarget, newUpstreams)
 		if b, ok := baselines[route]; ok {
 			e.SlowFrom = call.LatencyBucketStart(b.slowFrom)
 		}
@@ -261,10 +270,9 @@
 	return out
 }
 
-// newEvidence returns the evidence of the answers by upstream. Of several upstreams, the one
-// with most bad answers is left out, and at least half must have some: otherwise it may be
-// the fault of their VMs.
-func newEvidence(route string, byTarget map[string]answerCount, newUpstreams int) Evidence {
+// newEvidence returns the evidence of the answers by upstream. Bad answers of a single one of
+// several upstreams may be the fault of its VM.
+func (c *criterion) newEvidence(route string, byTarget map[string]answerCount, newUpstreams int) Evidence {
 	var sum, worst answerCount
 	active, affected := 0, 0
 	for _, n := range byTarget {
@@ -280,27 +288,36 @@
 		}
 	}
 	e := Evidence{Route: route, Answers: sum.answers, Bad: sum.bad, Expected: sum.expected, Probability: 1}
-	e.logOdds = withoutOutliers(byTarget, sum).logOdds()
-	if newUpstreams > 1 {
-		sum.remove(worst)
+	minBad := c.minSuspectBad
+	if route != "" {
+		// One bad answer on a route with few calls says nothing.
+		minBad = minSuspectBad
+	}
+	rest := c.withoutOutliers(byTarget, sum)
+	e.suspect = e.Bad >= minBad && rest.logOdds(c.suspectRate) > 0
+	minAffected := min(2, newUpstreams)
+	if c.mostAreOfVMs && newUpstreams > 1 {
+		rest, minAffected = sum, max(min(minSlowUpstreams, newUpstreams), (active+1)/2)
+		rest.remove(worst)
 	}
-	if sum.answers == 0 || newUpstreams > 1 && 2*affected < active {
+	if rest.answers == 0 || affected < minAffected {
 		return e
 	}
-	e.Probability = poissonTail(sum.bad, sum.expected)
-	e.margin = sum.excess() / float64(sum.answers)
+	e.Probability = poissonTail(rest.bad, rest.expected)
+	margin := rest.excess() / float64(rest.answers)
+	e.conclusive = e.Probability < c.rollbackProbability && margin >= c.minMargin
 	return e
 }
 
 // withoutOutliers returns the sum without the upstreams that have much more bad answers than
 // the others.
-func withoutOutliers(byTarget map[string]answerCount, sum answerCount) answerCount {
+func (c *criterion) withoutOutliers(byTarget map[string]answerCount, sum answerCount) answerCount {
 	byExcess := slices.SortedFunc(maps.Values(byTarget), func(a, b answerCount) int { return cmp.Compare(b.excess(), a.excess()) })
 	maxOutliers := int(math.Ceil(maxOutlierFraction * float64(len(byTarget))))
 	for _, n := range byExcess[:min(maxOutliers, max(0, len(byExcess)-1))] {
 		others := sum
 		others.remove(n)
-		rate := badRate{answers: others.answers, bad: others.bad}.smoothed(minBadRate, priorCalls)
+		rate := badRate{answers: others.answers, bad: others.bad}.smoothed(c.minRate, priorCalls)
 		if poissonTail(n.bad, rate*float64(n.answers)) >= outlierProbability {
 			break
 		}
@@ -311,7 +328,7 @@
 
 // logOdds returns the logarithm of the ratio of the likelihoods of the answers at a bad and
 // at the expected rate, zero if the expected rate is as bad.
-func (c answerCount) logOdds() float64 {
+func (c answerCount) logOdds(suspectRate float64) float64 {
 	if c.answers == 0 {
 		return 0
 	}
--- a/internal/moves/canary/callhistory.go
+++ b/internal/moves/canary/callhistory.go
@@ -169,16 +169,21 @@
 	return out
 }
 
-// evidence returns the evidence on all calls since the order, that on all routes first, and
-// on the recent ones.
+// evidence returns the evidence on all calls since the order, that on failed or slow answers
+// on all routes first, and on the recent ones.
 func (h *callHistory) evidence(now clock.Milli) verdict {
 	total, recent := h.totalStats(), h.statsSince(now-recentWindow)
 	h.addRunning(now, total)
 	h.addRunning(now, recent)
 	newUpstreams := h.newVersionUpstreams()
 	history := total.byRoute(false)
-	return append(total.evidence(newUpstreams, badBaselines(history, h.oldSinceFirst())),
-		recent.evidence(newUpstreams, badBaselines(history, recent.byRoute(false)))...)
+	oldTotal, oldRecent := h.oldSinceFirst(), recent.byRoute(false)
+	var out verdict
+	for _, c := range []*criterion{&failedOrSlow, &failed} {
+		out = append(out, c.evidence(total, newUpstreams, c.badBaselines(history, oldTotal))...)
+		out = append(out, c.evidence(recent, newUpstreams, c.badBaselines(history, oldRecent))...)
+	}
+	return out
 }
 
 // newVersionCalls returns the number of calls that the new version has finished.
--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -49,10 +49,9 @@
 	fraction float64
 }
 
-// steps are the increases of the share. The first ones are small, so that most answers by
-// which the version is judged come in before it gets half of the requests. The full share
-// is observed for two steps.
-var steps = []step{{0.2, 0.17}, {0.35, 0.15}, {1, 0.1}, {1, 0.09}}
+// steps are the increases of the share. At a quarter, each upstream that gets calls has about
+// its final load, also where there are few. The full share is observed for two steps.
+var steps = []step{{0.25, 0.14}, {0.25, 0.13}, {1, 0.12}, {1, 0.11}}
 
 // Move is the state of one version move and the call statistics that decide on
 // it. It is not safe for concurrent use.
--- a/internal/moves/canary/slow_version_test.go
+++ b/internal/moves/canary/slow_version_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -34,8 +35,11 @@
 	share, factor float64
 	// fails makes these calls fail instead.
 	fails bool
-	route string
-	from  clock.Milli
+	// underLoad makes them bad only at upstreams that have at least this fraction of their
+	// load after the move.
+	underLoad float64
+	route     string
+	from      clock.Milli
 	// slowNew and slowOld are the numbers of upstreams of each version that are 4 times
 	// slower between the ages 3 s and 9 s, burst is the slowdown of all others then.
 	slowNew, slowOld int
@@ -125,7 +129,7 @@
 		if age < s.coldUntil {
 			d *= 1.25
 		}
-		if age >= s.from && (s.route == "" || s.route == c.route) && s.random.Float64() < s.share {
+		if age >= s.from && s.load(age) >= s.underLoad && (s.route == "" || s.route == c.route) && s.random.Float64() < s.share {
 			c.failed = s.fails
 			d *= max(1, s.factor)
 		}
@@ -144,15 +148,24 @@
 	return c
 }
 
-func (s *simulation) chooseNewTarget(age clock.Milli) int {
+// load returns the load of the new upstreams that get calls, as a fraction of that after the
+// move.
+func (s *simulation) load(age clock.Milli) float64 {
+	return s.move.Share() * simulatedUpstreams / float64(len(s.subset(age)))
+}
+
+func (s *simulation) subset(age clock.Milli) []string {
 	ids := make([]string, simulatedUpstreams)
-	index := make(map[string]int)
 	for i := range ids {
-		ids[i] = fmt.Sprintf("new%d", i)
-		index[ids[i]] = i
+		ids[i] = strconv.Itoa(i)
 	}
-	subset := s.move.Subset(orderedAt+age, ids)
-	return index[subset[s.random.IntN(len(subset))]]
+	return s.move.Subset(orderedAt+age, ids)
+}
+
+func (s *simulation) chooseNewTarget(age clock.Milli) int {
+	subset := s.subset(age)
+	i, _ := strconv.Atoi(subset[s.random.IntN(len(subset))])
+	return i
 }
 
 func (s *simulation) finishUntil(age clock.Milli) {
@@ -236,6 +249,7 @@
 		"a fifth, cut off":           {version: slowness{share: 0.2, factor: 8, callsPerSecond: 40, maxDuration: 14 * clock.Second}, maxOverexposed: 2},
 		"all, cut off":               {version: slowness{share: 1, factor: 8, callsPerSecond: 40, maxDuration: 8 * clock.Second}},
 		"a fifth fails":              {version: slowness{share: 0.2, fails: true, callsPerSecond: 40, maxDuration: 14 * clock.Second}, maxOverexposed: 2},
+		"a tenth fails under load":   {version: slowness{share: 0.12, fails: true, underLoad: 0.9, callsPerSecond: 75, maxDuration: 16 * clock.Second}, maxOverexposed: 5},
 		"half fails, short":          {version: slowness{share: 0.5, fails: true, callsPerSecond: 40, maxDuration: 8 * clock.Second}},
 		"one route":                  {version: slowness{share: 0.5, factor: 3, route: "booking", callsPerSecond: 40, maxDuration: 16 * clock.Second}, maxOverexposed: 2},
 		"late":                       {version: slowness{share: 0.5, factor: 3, from: 4 * clock.Second, callsPerSecond: 40, maxDuration: 14 * clock.Second}},
--- a/internal/moves/canary/subset_test.go
+++ b/internal/moves/canary/subset_test.go
@@ -17,7 +17,7 @@
 	tests := map[string]struct {
 		step int
 		want int
-	}{"trial": {0, 1}, "a fifth": {1, 2}, "a third": {2, 3}, "all": {3, 8}}
+	}{"trial": {0, 1}, "a quarter": {1, 2}, "still a quarter": {2, 2}, "all": {3, 8}}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
