--- a/internal/moves/canary/callhistory.go
+++ b/internal/moves/canary/callhistory.go
@@ -178,8 +178,9 @@
 	newUpstreams := h.newVersionUpstreams()
 	history := total.byRoute(false)
 	oldTotal, oldRecent := h.oldSinceFirst(), recent.byRoute(false)
-	var out verdict
-	for _, c := range []*criterion{&failedOrSlow, &failed} {
+	criteria := []*criterion{&failedOrSlow, &failed}
+	out := make(verdict, 0, 2*len(criteria))
+	for _, c := range criteria {
 		out = append(out, c.evidence(total, newUpstreams, c.badBaselines(history, oldTotal))...)
 		out = append(out, c.evidence(recent, newUpstreams, c.badBaselines(history, oldRecent))...)
 	}
