call: carry the caller's workspace to the guard

Keys of callers and the usage that guards count by workspace are built side by side; both need the workspace of a call.

--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -30,6 +30,9 @@
 	SoftDeadline clock.Milli
 	// Caller is the name under which the upstream knows the caller, empty if there is none.
 	Caller string
+	// Workspace is the name of the workspace that the caller belongs to, empty if it is not
+	// known or the deployment has none.
+	Workspace string
 	// Fingerprint identifies requests that are the same to an upstream, zero for none.
 	Fingerprint uint64
 	// MayQueue allows the target to queue the call, as no other target is left.
--- a/internal/path/entry/attempt.go
+++ b/internal/path/entry/attempt.go
@@ -88,6 +88,7 @@
 		Label:            r.ClientRequestID,
 		MayQueue:         r.MayQueue,
 		Fingerprint:      r.Fingerprint,
+		Workspace:        r.Workspace,
 	}
 	if runner.body.fitsInline(runner.entry.maxInlineBytes) {
 		c.Body = runner.body.buffered
--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -132,6 +132,7 @@
 		ClientRequestID: c.GetLabel(),
 		MayQueue:        c.GetMayQueue(),
 		Fingerprint:     c.GetFingerprint(),
+		Workspace:       c.GetWorkspace(),
 	}
 	if c.GetAim() > 0 {
 		r.SoftDeadline = offset.ToLocal(clock.Milli(c.GetAim()))
