duty: add lease, usage counts and the report of usage

One daemon at a time holds the duty. Its lease and the settled counts are in a log of the store whose appends are all conditional, so two reports with different counts for one window are impossible.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -48,6 +48,11 @@
 	m.set.GetOrCreateCounter(`store_calls_total{call="` + call + `",result="` + result + `"}`).Inc()
 }
 
+// CountWindow counts a window of usage that was settled, reported or missed.
+func (m *Meter) CountWindow(result string) {
+	m.set.GetOrCreateCounter(`usage_windows_total{result="` + result + `"}`).Inc()
+}
+
 // AddGauge registers a gauge whose value is obtained from read whenever the
 // metrics are written.
 func (m *Meter) AddGauge(name string, read func() float64) {
--- /dev/null
+++ b/internal/core/lease/lease.go
@@ -0,0 +1,192 @@
+package lease
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
+)
+
+// retryDelay is the time between a failed call to the store and the next one.
+const retryDelay = 200 * clock.Millisecond
+
+// Core is the state of one duty at one daemon. It is not safe for concurrent use. Its
+// instants are readings of a clock that advances during suspends.
+type Core struct {
+	self     string
+	duration clock.Milli
+
+	// end is the known end of the log, negative before it was read. log has its records by key.
+	end    feed.Position
+	record Record
+	log    map[string][]byte
+	// pending is the item of an append that is not resolved. No other item is appended at
+	// the same position.
+	pending *feed.Item
+	// doubtful is set while the outcome of an append of pending is unknown.
+	doubtful bool
+	// mismatched is set after an append that the store refused because of its position.
+	mismatched bool
+	proposals  []feed.Item
+	confirm    bool
+	// confirmedAt is the start of the latest call that showed that the log ends at end.
+	confirmedAt clock.Milli
+	// changedAt is when a change of the log was last seen, readAt the start of the latest
+	// successful read. failed is set after a failed read.
+	changedAt clock.Milli
+	readAt    clock.Milli
+	failed    bool
+	retryAt   clock.Milli
+	// sendAfter is when this daemon may first send with heldToken.
+	sendAfter    clock.Milli
+	heldToken    int64
+	highestToken int64
+}
+
+// New returns the state of a duty. The name self identifies the process; another process on
+// the same machine needs another one.
+func New(self string, duration clock.Milli) *Core {
+	return &Core{self: self, duration: duration, end: feed.PositionNone, log: make(map[string][]byte)}
+}
+
+// Held reports whether this daemon is the latest holder in the log.
+func (c *Core) Held() bool {
+	return c.end >= 0 && c.record.Holder == c.self && !c.record.Released && c.record.Era == c.end.Era()
+}
+
+// Record returns the latest lease record.
+func (c *Core) Record() Record { return c.record }
+
+// Permit is the permission to send to the platform.
+type Permit struct {
+	Token int64
+	// Until is when the last call that it permits must have ended.
+	Until clock.Milli
+}
+
+// Permit returns the permission to send, and whether there is one.
+func (c *Core) Permit(now clock.Milli) (Permit, bool) {
+	p := Permit{Token: c.record.Token, Until: c.confirmedAt + c.duration/2}
+	return p, c.Held() && now >= c.sendAfter && now < p.Until
+}
+
+// RequestPermit makes the holder confirm its lease if it has no permit.
+func (c *Core) RequestPermit(now clock.Milli) {
+	_, ok := c.Permit(now)
+	c.confirm = !ok && now >= c.sendAfter
+}
+
+// Propose schedules the append of an entry while this daemon is the holder. An entry is in
+// force once Entry returns it.
+func (c *Core) Propose(key string, body []byte) {
+	c.proposals = append(c.proposals, feed.Item{Key: key, Value: encode(entry{Era: c.end.Era(), Body: body})})
+}
+
+// Proposing reports whether entries wait to be appended.
+func (c *Core) Proposing() bool {
+	return c.pending != nil || len(c.proposals) > 0
+}
+
+// Entry returns the entry of a key in the current era, nil if there is none.
+func (c *Core) Entry(key string) []byte {
+	var e entry
+	if err := json.Unmarshal(c.log[key], &e); err != nil || e.Era != c.end.Era() {
+		return nil
+	}
+	return e.Body
+}
+
+// NoteToken records a token that another daemon has seen.
+func (c *Core) NoteToken(token int64) {
+	c.highestToken = max(c.highestToken, token)
+}
+
+// Loaded records the result of ActionLoad.
+func (c *Core) Loaded(startedAt, now clock.Milli, b feed.Batch) {
+	log := make(map[string][]byte, len(b.Items))
+	for _, i := range b.Items {
+		log[i.Key] = i.Value
+	}
+	// Whether a pending item is among lost records is unknown, so it is given up: its
+	// writer decides again from the log.
+	c.pending, c.proposals, c.doubtful = nil, nil, false
+	c.log, c.end, c.changedAt = log, b.End, now
+	c.recordCall(startedAt)
+	c.applyLease(now)
+}
+
+// Read records the result of ActionRead.
+func (c *Core) Read(startedAt, now clock.Milli, b feed.Batch) {
+	if c.failed || len(b.Items) > 0 {
+		c.changedAt = now
+	}
+	if len(b.Items) > 0 {
+		// One of the items may be the pending one. Otherwise its writer decides again.
+		c.pending, c.proposals = nil, nil
+	}
+	if c.mismatched && len(b.Items) == 0 {
+		c.Failed(now, feed.ErrRestored)
+		return
+	}
+	for _, i := range b.Items {
+		c.log[i.Key] = i.Value
+	}
+	c.end, c.doubtful = b.End, false
+	c.recordCall(startedAt)
+	c.applyLease(now)
+}
+
+// Appended records the success of ActionAppend.
+func (c *Core) Appended(startedAt, now clock.Milli, end feed.Position) {
+	if end.Era() != c.end.Era() {
+		c.Failed(now, feed.ErrRestored)
+		return
+	}
+	c.log[c.pending.Key] = c.pending.Value
+	c.pending, c.doubtful = nil, false
+	c.end, c.changedAt = end, now
+	c.recordCall(startedAt)
+	c.applyLease(now)
+}
+
+// Failed records the failure of a call.
+func (c *Core) Failed(now clock.Milli, err error) {
+	c.failed = true
+	switch {
+	case errors.Is(err, feed.ErrRestored), errors.Is(err, feed.ErrGone):
+		c.end = feed.PositionNone
+	case errors.Is(err, feed.ErrPositionMismatch):
+		c.doubtful, c.mismatched = true, true
+	default:
+		c.doubtful = c.pending != nil
+		c.retryAt = now + retryDelay
+	}
+}
+
+func (c *Core) recordCall(startedAt clock.Milli) {
+	c.failed, c.mismatched, c.confirm, c.retryAt = false, false, false, 0
+	c.confirmedAt, c.readAt = startedAt, startedAt
+}
+
+// applyLease applies the lease record in the log. A malformed one counts as none.
+func (c *Core) applyLease(now clock.Milli) {
+	var r Record
+	if bytes.HasPrefix(c.log[recordKey], []byte("{")) && json.Unmarshal(c.log[recordKey], &r) == nil {
+		c.record = r
+	} else {
+		c.record = Record{}
+	}
+	c.highestToken = max(c.highestToken, c.record.Token)
+	if c.Held() && c.record.Token != c.heldToken {
+		c.heldToken, c.sendAfter = c.record.Token, now+c.duration
+	}
+	if !c.Held() {
+		c.proposals = nil
+	}
+}
+
+// HighestToken returns the highest token that this daemon knows of.
+func (c *Core) HighestToken() int64 { return c.highestToken }
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -21,6 +21,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/health"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
+	"gitlab.com/cranberrytack/cranberrytack/internal/node/duty"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/entry"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/guard"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
@@ -64,6 +65,9 @@
 	metricsServer   *httpd.Server
 	meter           *meter.Meter
 	lifecycle       lifecycle
+	// usage and usageDuty are nil in a deployment without reports of usage.
+	usage     *usageCounter
+	usageDuty *duty.Runner
 }
 
 // New builds a daemon and opens its listeners. It reads the stored records first, and
@@ -138,11 +142,11 @@
 		checkDone: make(chan struct{}),
 	}
 	n.crashes = newCrashLog(n)
-	n.guard = guard.New(n.self, s.UpstreamAddr, n.clock,
+	n.guard = guard.New(n.self, s.UpstreamAddr, n.clock, append(n.usageHooks(previous),
 		guard.WithLogger(n.log), guard.WithAdmitter(n.upstream), guard.WithAdmissionCheck(n.checkAdmission),
 		guard.WithNoticeHandler(n.upstream.handleNotice), guard.WithProtocol(p.UpstreamProtocol(n.upstream.instance, n.upstream.handleMisdirected)),
 		guard.WithPreAdmissionHook(n.refreshSlowdown), guard.WithIdleTimeout(upstreamIdleTimeout), guard.WithRequestErrorHandler(n.handleRequestError),
-		guard.WithSampleHandler(n.recordUpstream), guard.WithBreakHandler(n.crashes.handleBreak), guard.WithRefusalHandler(n.recordRefusal))
+		guard.WithSampleHandler(n.recordUpstream), guard.WithBreakHandler(n.crashes.handleBreak), guard.WithRefusalHandler(n.recordRefusal))...)
 	n.entry = entry.New(n.self, n.clock, n.pool, n.table, &rules{registry: n.registry, moves: n.moves},
 		entry.WithLogger(n.log), entry.WithProtocol(p.CallerProtocol(n.routes)), entry.WithNoTargetReason(call.ReasonNoTarget),
 		entry.WithPicker(newPicker), entry.WithRetrier(n.newRetrier), entry.WithProbeRate(0), entry.WithBodyLimits(maxBufferedBodyBytes, maxInlineBodyBytes),
@@ -198,6 +202,10 @@
 		link.WithControlHandler(controlShare, n.sync.handleRequest), link.WithControlHandler(controlTallies, n.reporter.handleReport),
 		link.WithControlHandler(controlWatch, n.watch.handleNotice), link.WithControlHandler(controlOrders, n.sync.transfer.handleRequest),
 		link.WithControlHandler(controlCrashes, n.crashes.handleReport))}
+	if n.usage != nil {
+		n.addUsageDuty()
+		link.WithControlHandler(controlUsage, n.usage.handleQuery)(n.peerServer.Server)
+	}
 	link.ShareSessions(n.pool, n.peerServer.Server)
 	pipeline := pipe.New(pipe.WithRepeatable(n.entry.MayRepeat), pipe.WithStopping(n.lifecycle.stopping.Load))
 	n.callerServer = newServer(alice.New(pipeline.Middleware).Then(n.entry))
@@ -240,6 +248,9 @@
 	} {
 		sup.Add(s)
 	}
+	if n.usageDuty != nil {
+		sup.Add(n.usageDuty)
+	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := sup.ServeBackground(runCtx)
--- a/internal/node/mesh/platform.go
+++ b/internal/node/mesh/platform.go
@@ -11,6 +11,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/route"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/usage"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/health"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/canary"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/entry"
@@ -39,10 +40,29 @@
 	// FirstStart is set when the whole system starts for the first time, so that the
 	// store has no records of daemons.
 	FirstStart bool
+	// Usage describes the reports of usage, nil if the deployment has none.
+	Usage *UsageSettings
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
 }
 
+// UsageSettings describe the duty to report usage.
+type UsageSettings struct {
+	Timing usage.Timing
+	// Lease is how long the holder of the duty may be silent before another one takes over.
+	Lease clock.Milli
+	// MinInterval is the least time between two reports.
+	MinInterval clock.Milli
+}
+
+// UsageReport says how many requests of each workspace upstreams began in a window.
+type UsageReport struct {
+	// Holder is the name of the daemon that reports, Token its fencing token.
+	Holder string
+	Token  int64
+	Window usage.Window
+}
+
 // ListenAddrs holds the addresses that the daemon listens on.
 type ListenAddrs struct {
 	// Callers serves the requests of callers on this VM.
@@ -65,6 +85,8 @@
 	Peers string
 	// Status has the final status of version moves, for operators.
 	Status string
+	// Usage has the lease and the settled counts of the duty to report usage.
+	Usage string
 }
 
 // HeartbeatHandler handles what an upstream reports of itself.
@@ -79,6 +101,8 @@
 // Platform adapts the daemon to the store, the protocols and the formats of its platform.
 type Platform interface {
 	Store() feed.Store
+	// ReportUsage sends a report. Reports may be repeated.
+	ReportUsage(ctx context.Context, r UsageReport) error
 	Topics() Topics
 	// DecodeDirective is an order.Decoder.
 	DecodeDirective(key string, value []byte) (order.Directive, error)
--- a/internal/node/mesh/stop.go
+++ b/internal/node/mesh/stop.go
@@ -72,6 +72,9 @@
 	n.lifecycle.endsAt.Store(int64(startedAt + n.settings.StopTimeout - exitReserve))
 	entryErr := n.callerServer.Stop(ctx)
 	interrupted := n.guard.AwaitDrain(ctx)
+	if n.usage != nil {
+		n.usage.handOver(ctx)
+	}
 	elapsed := n.clock.Now() - startedAt
 	if !assert.That(entryErr == nil && interrupted == 0, assert.GracefulStop, "%d calls interrupted in the guard, entry: %v", interrupted, entryErr) {
 		return errors.Wrapf(ErrStopTimeout, "%d calls interrupted in the guard after %.0f ms, entry: %v", interrupted, float64(elapsed), entryErr)
--- a/internal/node/mesh/tuning.go
+++ b/internal/node/mesh/tuning.go
@@ -16,6 +16,7 @@
 	controlWatch   = wire.ControlKind_CONTROL_KIND_WATCH
 	controlOrders  = wire.ControlKind_CONTROL_KIND_ORDERS
 	controlCrashes = wire.ControlKind_CONTROL_KIND_CRASHES
+	controlUsage   = wire.ControlKind_CONTROL_KIND_USAGE
 
 	// retryTokensPerCall is the number of retry tokens that a first attempt adds, up
 	// to maxRetryTokens. It keeps the retries of all daemons below a fifth of the
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -36,7 +36,7 @@
 // stream can be used for another call.
 func (x *exchange) run(ctx context.Context) bool {
 	g := x.stream.guard
-	defer func() { g.finishCall(x.request.ID, x.result) }()
+	defer x.finish()
 	body, ok := x.openBody(ctx)
 	if !ok {
 		return false
@@ -68,6 +68,15 @@
 	return ok
 }
 
+// finish reports the end of the call to the admitter.
+func (x *exchange) finish() {
+	g := x.stream.guard
+	if x.result.NotRun && x.dispatchedAt > 0 {
+		g.onNotRun(x.dispatchedAt, x.request)
+	}
+	g.finishCall(x.request.ID, x.result)
+}
+
 // openBody returns the request body. If CallStart did not contain all of it, the
 // entry sends the body after the message Admitted, which openBody sends.
 func (x *exchange) openBody(ctx context.Context) (io.ReadCloser, bool) {
--- a/internal/path/guard/guard.go
+++ b/internal/path/guard/guard.go
@@ -47,6 +47,7 @@
 	admissionCheck AdmissionCheck
 	recordSample   func(Sample)
 	onDispatch     func(now clock.Milli, r *call.Request)
+	onNotRun       func(dispatchedAt clock.Milli, r *call.Request)
 	protocol       Protocol
 	onRequestError func(err error)
 	onRefusal      func(r call.Reason)
@@ -137,6 +138,12 @@
 	return func(g *Guard) { g.onDispatch = f }
 }
 
+// WithNotRunHook sets a function that runs when the upstream proved not to have run a request
+// that was dispatched to it.
+func WithNotRunHook(f func(dispatchedAt clock.Milli, r *call.Request)) Option {
+	return func(g *Guard) { g.onNotRun = f }
+}
+
 // WithSampleHandler sets the function that receives a sample of each call that was
 // answered or failed at the upstream.
 func WithSampleHandler(f func(Sample)) Option {
@@ -159,6 +166,7 @@
 		admissionCheck:   func(clock.Milli, *call.Request) call.Reason { return call.ReasonNone },
 		recordSample:     func(Sample) {},
 		onDispatch:       func(clock.Milli, *call.Request) {},
+		onNotRun:         func(clock.Milli, *call.Request) {},
 		protocol:         nativeProtocol{},
 		onRequestError:   func(error) {},
 		onRefusal:        func(call.Reason) {},
