lease: more faults in the model test

Planned stops, longer pauses, more restores and lost answers. In a scratch copy the test fails when any of these is removed: the wait of a new holder, the end of a permit, the era of a lease record, the start of the complete log, the clock in the token. It does not fail without the era of an entry, as the start of the complete log covers it.

--- a/internal/core/lease/model_test.go
+++ b/internal/core/lease/model_test.go
@@ -65,8 +65,10 @@
 	core       *lease.Core
 	skew       clock.Milli
 	pausedTill clock.Milli
-	call       *modelCall
-	delayed    []*modelCall
+	// stopsTill is the end of a planned stop.
+	stopsTill clock.Milli
+	call      *modelCall
+	delayed   []*modelCall
 }
 
 // modelReport is a report on its way to the platform.
@@ -90,7 +92,6 @@
 	holders map[int64]int
 	latest  int64
 	history []modelReport
-	// reported counts windows, to see that the model does something.
 	tenures map[int64]bool
 }
 
@@ -120,15 +121,18 @@
 
 func (m *model) step() {
 	m.now += modelTick
-	if m.chance(0.01) {
+	if m.chance(0.05) {
 		m.store.copy = len(m.store.items)
 	}
-	if m.chance(0.01) && m.store.copy <= len(m.store.items) {
+	if m.chance(0.03) && m.store.copy <= len(m.store.items) {
 		m.store.items, m.store.era = m.store.items[:m.store.copy:m.store.copy], m.store.era+1
 	}
 	for _, n := range m.nodes {
 		if m.chance(0.03) {
-			n.pausedTill = m.now + clock.Milli(m.rand.IntN(8000))
+			n.pausedTill = m.now + clock.Milli(m.rand.IntN(20_000))
+		}
+		if m.chance(0.05) {
+			n.stopsTill = m.now + clock.Milli(m.rand.IntN(4000))
 		}
 		if m.chance(0.01) {
 			m.restart(n)
@@ -166,9 +170,9 @@
 		m.finish(n, c)
 	}
 	m.work(n)
-	s := lease.Situation{Rank: n.id, TrueTime: m.now + n.skew}
+	s := lease.Situation{Rank: n.id, Stopping: m.now < n.stopsTill, TrueTime: m.now + n.skew}
 	if step := n.core.Next(m.now, s); step.Action != lease.ActionNone {
-		c := &modelCall{step: step, startedAt: m.now, runAt: m.now + clock.Milli(m.rand.IntN(300)) + step.Wait, lost: m.rand.Float64() < 0.08}
+		c := &modelCall{step: step, startedAt: m.now, runAt: m.now + clock.Milli(m.rand.IntN(300)) + step.Wait, lost: m.rand.Float64() < 0.15}
 		c.end = c.runAt + clock.Milli(m.rand.IntN(200))
 		if c.lost {
 			c.runAt += clock.Milli(m.rand.IntN(4000))
