usage: wait for the first answers before a window is missed

A new holder missed windows near their time at once, before any guard had answered. Seen in a fleet of three daemons; the case 'first answers' fails without the change.

--- a/internal/core/usage/book.go
+++ b/internal/core/usage/book.go
@@ -59,7 +59,9 @@
 	Accepted bool
 	// Complete is the true time since which the log is complete.
 	Complete clock.Milli
-	Coverage Coverage
+	// Collecting is set while a new holder waits for the first answers of the guards.
+	Collecting bool
+	Coverage   Coverage
 }
 
 // First returns the first window whose report is not due yet.
@@ -97,7 +99,7 @@
 		return VerdictMiss, ReasonNotSettled
 	case s.Coverage.Missing == 0:
 		return VerdictSettle, ReasonNone
-	case now < due-dueReserve*t.Due:
+	case s.Collecting, now < due-dueReserve*t.Due:
 		return VerdictWait, ReasonNone
 	case s.Coverage.Missing <= missingShare*t.Tolerance:
 		return VerdictSettle, ReasonNone
--- a/internal/node/mesh/usagereporter.go
+++ b/internal/node/mesh/usagereporter.go
@@ -39,8 +39,9 @@
 	runner   *duty.Runner
 	counter  *usageCounter
 	puller   *usagePuller
-	// first is the first window of this tenure.
-	first int64
+	// first is the first window of this tenure, which began at beganAt.
+	first   int64
+	beganAt clock.Milli
 	// done has the windows that need no more work.
 	done map[int64]bool
 	// stored has the windows that were seen to be settled.
@@ -56,7 +57,7 @@
 
 // Begin implements duty.Work.
 func (u *usageReporter) Begin() {
-	u.first = u.settings.Timing.First(u.counter.trueTime())
+	u.first, u.beganAt = u.settings.Timing.First(u.counter.trueTime()), clock.Uptime()
 	u.done, u.stored = make(map[int64]bool), make(map[int64]bool)
 	u.puller.begin()
 	u.mu.Lock()
@@ -81,6 +82,7 @@
 	settled, ok := u.settled(window)
 	state := usage.State{Settled: ok, Accepted: u.isAccepted(window), Complete: u.runner.CompleteSince()}
 	if !ok {
+		state.Collecting = clock.Uptime()-u.beganAt < usageQueryTimeout
 		state.Coverage = u.puller.coverage(window)
 	} else if !u.stored[window] {
 		u.stored[window] = true
