keys: requests need the key of a workspace

The code knew no keys, so every request of a deployment with workspaces ran without one and the key reached the upstream.

--- a/internal/conf/route/route.go
+++ b/internal/conf/route/route.go
@@ -37,6 +37,8 @@
 	MaxAttempts int
 	// Priority orders queued requests; 0 is served first.
 	Priority int
+	// Public routes need no key.
+	Public bool
 }
 
 // Service holds the settings that all upstreams of a service share.
@@ -62,6 +64,8 @@
 	Limits   Limits
 	Hosts    map[string][]Rule
 	Services map[string]Service
+	// Keys holds the keys of all callers. It is nil if requests need none.
+	Keys Keys
 }
 
 // Match returns the route of a host with the longest prefix that matches path. It
--- a/internal/path/entry/entry.go
+++ b/internal/path/entry/entry.go
@@ -245,6 +245,9 @@
 	if summary.Request.ClientRequestID != "" {
 		ev = ev.Str("label", summary.Request.ClientRequestID)
 	}
+	if summary.Request.Workspace != "" {
+		ev = ev.Str("workspace", summary.Request.Workspace)
+	}
 	if summary.Target != nil {
 		ev = ev.Str("target", summary.Target.ID).Str("centre", summary.Target.Centre).Str("choice", summary.SelectionReason.String())
 	}
