place: keep calls in a data centre that has room

Cause: the jitter that spreads entries over equal targets (up to 15 in 100 of the cost) was larger than the 15 ms charged for another data centre, and a target elsewhere that had just answered looked cheaper than one at home without a recent report.

Change: the cheapest target of the own data centre serves the call while it has room, which is a decision of its own (room.go); otherwise another data centre costs 60 ms. TestUnevenDemand failed before in all three rows.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -27,8 +27,9 @@
 	// ewmaWeight is the weight of one sample in the service's moving averages.
 	ewmaWeight = 0.1
 	// crossCentreCost is added for a target in another data centre, for network
-	// latency and traffic, if the call has no large body.
-	crossCentreCost = 15 * clock.Millisecond
+	// latency, traffic and attempts that are refused there, if the call has no large
+	// body.
+	crossCentreCost = 60 * clock.Millisecond
 	// crossCentreTransferCost replaces crossCentreCost for a call with a large
 	// body.
 	crossCentreTransferCost = 120 * clock.Millisecond
@@ -187,11 +188,22 @@
 	return 1 / (1 + x*x)
 }
 
-// Choose returns the target with the lowest expected cost. The target is nil if
-// none is allowed.
+// candidate is the cheapest of the targets that it was offered.
+type candidate struct {
+	target *target
+	cost   clock.Milli
+}
+
+func (c *candidate) offer(t *target, cost clock.Milli) {
+	if c.target == nil || cost < c.cost {
+		c.target, c.cost = t, cost
+	}
+}
+
+// Choose returns the target with the lowest expected cost in the caller's own data centre,
+// if it has room, or else among all. The target is nil if none is allowed.
 func (p *Picker) Choose(now clock.Milli, q pick.Query) pick.Choice {
-	var best *target
-	var bestCost clock.Milli
+	var best, own candidate
 	compared := 0
 	for _, t := range p.targets {
 		if t.Leaving || slices.Contains(q.Tried, t.ID) || q.Allow != nil && !q.Allow(&t.Target) {
@@ -199,18 +211,21 @@
 		}
 		compared++
 		c := p.expectedCost(now, &q, t) * clock.Milli(1+maxCostJitter*p.rand.Float64())
-		if best == nil || c < bestCost {
-			best, bestCost = t, c
+		best.offer(t, c)
+		if t.Centre == q.Centre {
+			own.offer(t, c)
 		}
 	}
-	if best == nil {
+	switch {
+	case best.target == nil:
 		return pick.Choice{Reason: call.ReasonNoTarget}
+	case compared == 1:
+		return pick.Choice{Target: &best.target.Target, Reason: call.ReasonOnlyTarget, Compared: compared}
+	case own.target != nil && own.target != best.target && p.hasRoom(now, own.target):
+		return pick.Choice{Target: &own.target.Target, Reason: call.ReasonLocalCool, Compared: compared}
+	default:
+		return pick.Choice{Target: &best.target.Target, Reason: call.ReasonLowestCost, Compared: compared}
 	}
-	reason := call.ReasonLowestCost
-	if compared == 1 {
-		reason = call.ReasonOnlyTarget
-	}
-	return pick.Choice{Target: &best.Target, Reason: reason, Compared: compared}
 }
 
 // expectedCost returns the expected response time plus penalties for failures and
@@ -225,7 +240,7 @@
 	if excess := load + 1 - limit; excess > 0 {
 		cost += p.meanServiceTime * clock.Milli(factor*excess/limit)
 	}
-	if t.state.Leaving && now-t.state.ReceivedAt < failureHalfLife {
+	if t.isLeaving(now) {
 		cost += failureCost * p.meanServiceTime
 	}
 	cost += clock.Milli(failureCost*t.decayedFailureRate(now)) * max(minFailedTime, p.meanServiceTime)
--- /dev/null
+++ b/internal/core/place/room.go
@@ -0,0 +1,32 @@
+package place
+
+import "gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+
+const (
+	// slowVMThreshold is the slowdown of a VM from which guards refuse calls that other
+	// targets could serve.
+	slowVMThreshold = 1.8
+	// maxRoomFailureRate is the failure rate above which a target has no room, although
+	// its load would allow another call.
+	maxRoomFailureRate = 0.1
+)
+
+// hasRoom reports whether a target is expected to start another call at once and to run it
+// as fast and as reliably as others would. It answers loads that differ between data
+// centres: callers leave their own one only for what does not fit there.
+func (p *Picker) hasRoom(now clock.Milli, t *target) bool {
+	load, limit, slowdown := p.estimateLoad(now, t)
+	switch {
+	case load+1 > limit, slowdown >= slowVMThreshold, t.admitDelay(now) > 0:
+		return false
+	case t.isLeaving(now), t.decayedFailureRate(now) > maxRoomFailureRate:
+		return false
+	default:
+		return p.latencyRatio(t) == 1
+	}
+}
+
+// isLeaving reports whether the target recently stated that it leaves.
+func (t *target) isLeaving(now clock.Milli) bool {
+	return t.state.Leaving && now-t.state.ReceivedAt < failureHalfLife
+}
