usage: correct clocks by measured differences

A query that was delayed by over 100 ms made a guard move its clock back and drop the counts of two windows (counts_missing in one of about eight runs of TestUsageDuty on a busy machine). The holder now states the difference that it measured in a quick exchange. Two locks are no longer taken in both orders.

--- a/internal/node/duty/runner.go
+++ b/internal/node/duty/runner.go
@@ -75,8 +75,9 @@
 	if !r.Enabled() {
 		return idleInterval
 	}
+	situation := r.Situation(r.holder())
 	r.mu.Lock()
-	step := r.core.Next(clock.Uptime(), r.Situation(r.core.Record().Holder))
+	step := r.core.Next(clock.Uptime(), situation)
 	r.mu.Unlock()
 	if step.Action != lease.ActionNone {
 		r.call(ctx, step)
@@ -149,6 +150,13 @@
 	return held
 }
 
+// holder returns the latest known holder.
+func (r *Runner) holder() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Record().Holder
+}
+
 // Token returns the token of this daemon's tenure, zero if it is not the holder.
 func (r *Runner) Token() int64 {
 	r.mu.Lock()
--- a/internal/node/mesh/usage.go
+++ b/internal/node/mesh/usage.go
@@ -83,5 +83,6 @@
 
 // hasWorkspaces reports whether callers belong to workspaces.
 func (n *Node) hasWorkspaces() bool {
-	return n.usage.counted.Load()
+	t := n.routes()
+	return t != nil && t.Keys != nil
 }
--- a/internal/node/mesh/usagecounter.go
+++ b/internal/node/mesh/usagecounter.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -36,8 +35,6 @@
 	highestToken func() int64
 	// collect receives the counts of a guard that stops.
 	collect func(*wire.UsageCounts)
-	// counted is set once a request of a workspace was counted.
-	counted atomic.Bool
 
 	mu      sync.Mutex
 	counter *usage.Counter
@@ -73,14 +70,14 @@
 	return c.boot.Now() + c.correction
 }
 
-// correct sets the true time, if this daemon's estimate is off by too much. What was counted
-// before may be in the wrong windows.
-func (c *usageCounter) correct(now clock.Milli) {
+// correct sets what to add to the clock to get the true time, if it differs too much from
+// before. What was counted before may then be in the wrong windows.
+func (c *usageCounter) correct(correction clock.Milli) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if d := now - c.trueTimeLocked(); d > maxClockError || d < -maxClockError {
-		c.correction += d
-		c.since = now
+	if d := correction - c.correction; d > maxClockError || d < -maxClockError {
+		c.correction = correction
+		c.since = c.trueTimeLocked()
 		c.identity.Succeeds = true
 	}
 }
@@ -88,7 +85,6 @@
 // recordDispatch counts a request that the upstream is about to get.
 func (c *usageCounter) recordDispatch(_ clock.Milli, r *call.Request) {
 	if r.Workspace != "" {
-		c.counted.Store(true)
 		c.add(0, r.Workspace, 1)
 	}
 }
@@ -108,11 +104,12 @@
 
 // counts returns the counts from a window on.
 func (c *usageCounter) counts(first int64) *wire.UsageCounts {
+	token := c.highestToken()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := &wire.UsageCounts{
 		Member: c.identity.GetMember(), Incarnation: c.identity.GetIncarnation(), Succeeds: c.identity.GetSucceeds(),
-		Since: float64(c.since), Until: float64(c.trueTimeLocked()), Clock: float64(c.boot.Now()), Token: c.highestToken(),
+		Since: float64(c.since), Until: float64(c.trueTimeLocked()), Clock: float64(c.boot.Now()), Token: token,
 	}
 	for _, w := range c.counter.From(first) {
 		m := &wire.UsageWindow{Window: w.Index}
@@ -136,8 +133,8 @@
 		c.collect(q.GetHandover())
 		return nil, nil
 	}
-	if q.GetNow() > 0 {
-		c.correct(clock.Milli(q.GetNow()))
+	if q.GetCorrects() {
+		c.correct(clock.Milli(q.GetCorrection()))
 	}
 	c.mu.Lock()
 	c.holder = q.GetMember()
--- a/internal/node/mesh/usagepuller.go
+++ b/internal/node/mesh/usagepuller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 
@@ -38,7 +39,7 @@
 	mu        sync.Mutex
 	collector *usage.Collector
 	inFlight  map[string]bool
-	// clocks has the difference of each daemon's clock to this one's.
+	// clocks has the difference of each daemon's clock to this one's, from quick answers.
 	clocks map[string]clock.Milli
 }
 
@@ -53,10 +54,11 @@
 	p.mu.Lock()
 	p.collector.Linked(now, linked)
 	p.collector.Expire(first)
+	maps.DeleteFunc(p.clocks, func(m string, _ clock.Milli) bool { return !slices.Contains(linked, m) })
 	p.mu.Unlock()
 	if p.lastRound < p.roundAt(now) {
 		p.lastRound, p.lastRetry = now, now
-		p.ask(ctx, now, first, linked)
+		p.ask(ctx, first, linked)
 		return
 	}
 	last := int64(now/p.settings.Timing.Length) - 1
@@ -64,7 +66,7 @@
 		return
 	}
 	p.lastRetry = now
-	p.ask(ctx, now, first, slices.DeleteFunc(p.coverage(last).Members, func(m string) bool { return !slices.Contains(linked, m) }))
+	p.ask(ctx, first, slices.DeleteFunc(p.coverage(last).Members, func(m string) bool { return !slices.Contains(linked, m) }))
 }
 
 // roundAt returns when all guards were last due to be asked.
@@ -83,40 +85,41 @@
 }
 
 // ask sends a query to each member without one in flight.
-func (p *usagePuller) ask(ctx context.Context, now clock.Milli, first int64, members []string) {
-	p.correctClock()
-	q := &wire.UsageQuery{Member: p.counter.self, Token: p.counter.highestToken(), First: first}
+func (p *usagePuller) ask(ctx context.Context, first int64, members []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if 2*len(p.clocks) > len(members) {
-		q.Now = float64(now)
-	}
-	payload, err := proto.Marshal(q)
-	if err != nil {
-		return
+	median, ok := p.medianClock(len(members))
+	if ok {
+		p.counter.correct(median)
 	}
 	for _, m := range members {
 		if m == p.counter.self {
 			p.addLocked(p.counter.counts(first))
 			continue
 		}
-		if !p.inFlight[m] {
+		if p.inFlight[m] {
+			continue
+		}
+		q := &wire.UsageQuery{Member: p.counter.self, Token: p.counter.highestToken(), First: first}
+		if difference, known := p.clocks[m]; known && ok {
+			q.Corrects, q.Correction = true, float64(median-difference)
+		}
+		if payload, err := proto.Marshal(q); err == nil {
 			p.inFlight[m] = true
 			go (&usageQuery{puller: p, member: m, payload: payload}).run(ctx)
 		}
 	}
 }
 
-// correctClock sets the true time to the median of the daemons' clocks.
-func (p *usagePuller) correctClock() {
-	p.mu.Lock()
+// medianClock returns the difference of the median of the daemons' clocks to this one's, and
+// whether most clocks of that many daemons are known. The caller holds the lock.
+func (p *usagePuller) medianClock(members int) (clock.Milli, bool) {
 	differences := []clock.Milli{0}
 	for _, d := range p.clocks {
 		differences = append(differences, d)
 	}
-	p.mu.Unlock()
 	slices.Sort(differences)
-	p.counter.correct(p.counter.boot.Now() + differences[len(differences)/2])
+	return differences[len(differences)/2], 2*len(differences) > members
 }
 
 // collect records the counts of a guard.
@@ -175,10 +178,11 @@
 	defer p.mu.Unlock()
 	delete(p.inFlight, q.member)
 	if err != nil {
-		delete(p.clocks, q.member)
 		return
 	}
-	p.clocks[q.member] = clock.Milli(c.GetClock()) - (sentAt+receivedAt)/2
+	if receivedAt-sentAt < maxClockError {
+		p.clocks[q.member] = clock.Milli(c.GetClock()) - (sentAt+receivedAt)/2
+	}
 	p.counter.noteToken(c.GetToken())
 	p.addLocked(&c)
 }
