--- a/internal/core/usage/collector.go
+++ b/internal/core/usage/collector.go
@@ -70,7 +70,7 @@
 	maps.DeleteFunc(c.linkedAt, func(_ string, at clock.Milli) bool { return at < start })
 	maps.DeleteFunc(c.answers, func(_ process, a Answer) bool {
 		_, linked := c.linkedAt[a.Member]
-		return a.Until < start && !(a.Final && linked)
+		return a.Until < start && (!a.Final || !linked)
 	})
 	for key, a := range c.answers {
 		a.Windows = slices.DeleteFunc(a.Windows, func(w Window) bool { return w.Index < first })
--- a/internal/core/usage/usage_test.go
+++ b/internal/core/usage/usage_test.go
@@ -14,14 +14,14 @@
 // at returns an instant of window 10.
 func at(seconds clock.Milli) clock.Milli { return 10*length + seconds*clock.Second }
 
-func window(index, n int64) []usage.Window {
-	return []usage.Window{{Index: index, Counts: usage.Counts{"w": n}}}
+func window(n int64) []usage.Window {
+	return []usage.Window{{Index: 10, Counts: usage.Counts{"w": n}}}
 }
 
 // Guards against counts that are settled although a guard's part of the window is missing, and
 // against windows that are missed because of a guard that was not there or ended as planned.
 func TestCoverage(t *testing.T) {
-	full := usage.Answer{Member: "a", Incarnation: 1, Since: at(-60), Until: at(6), Windows: window(10, 7)}
+	full := usage.Answer{Member: "a", Incarnation: 1, Since: at(-60), Until: at(6), Windows: window(7)}
 	tests := map[string]struct {
 		answers []usage.Answer
 		linked  []string
@@ -31,24 +31,24 @@
 		"complete":             {[]usage.Answer{full}, []string{"a"}, 0, 7},
 		"no answer of a guard": {[]usage.Answer{full}, []string{"a", "b"}, 0.5, 7},
 		"killed after an early answer": {
-			[]usage.Answer{full, {Member: "b", Since: at(-60), Until: at(3), Windows: window(10, 2)}}, []string{"a", "b"}, 0.2, 9,
+			[]usage.Answer{full, {Member: "b", Since: at(-60), Until: at(3), Windows: window(2)}}, []string{"a", "b"}, 0.2, 9,
 		},
 		"killed and started again": {[]usage.Answer{
 			full,
-			{Member: "b", Incarnation: 1, Since: at(-60), Until: at(1), Windows: window(10, 2)},
-			{Member: "b", Incarnation: 2, Succeeds: true, Since: at(2), Until: at(6), Windows: window(10, 3)},
+			{Member: "b", Incarnation: 1, Since: at(-60), Until: at(1), Windows: window(2)},
+			{Member: "b", Incarnation: 2, Succeeds: true, Since: at(2), Until: at(6), Windows: window(3)},
 		}, []string{"a", "b"}, 0.1, 12},
 		"stopped as planned": {
-			[]usage.Answer{full, {Member: "b", Since: at(-60), Until: at(2), Final: true, Windows: window(10, 2)}}, []string{"a", "b"}, 0, 9,
+			[]usage.Answer{full, {Member: "b", Since: at(-60), Until: at(2), Final: true, Windows: window(2)}}, []string{"a", "b"}, 0, 9,
 		},
 		"stopped as planned before, started again": {[]usage.Answer{
 			full,
 			{Member: "b", Incarnation: 1, Since: at(-60), Until: at(-2), Final: true},
-			{Member: "b", Incarnation: 2, Succeeds: true, Since: at(3), Until: at(6), Windows: window(10, 1)},
+			{Member: "b", Incarnation: 2, Succeeds: true, Since: at(3), Until: at(6), Windows: window(1)},
 		}, []string{"a", "b"}, 0, 8},
-		"new machine": {[]usage.Answer{full, {Member: "b", Since: at(3), Until: at(6), Windows: window(10, 1)}}, []string{"a", "b"}, 0, 8},
+		"new machine": {[]usage.Answer{full, {Member: "b", Since: at(3), Until: at(6), Windows: window(1)}}, []string{"a", "b"}, 0, 8},
 		"an earlier answer that arrives late": {
-			[]usage.Answer{full, {Member: "a", Incarnation: 1, Since: at(-60), Until: at(3), Windows: window(10, 4)}}, []string{"a"}, 0, 7,
+			[]usage.Answer{full, {Member: "a", Incarnation: 1, Since: at(-60), Until: at(3), Windows: window(4)}}, []string{"a"}, 0, 7,
 		},
 	}
 	for name, tt := range tests {
--- a/internal/node/mesh/usagepuller.go
+++ b/internal/node/mesh/usagepuller.go
@@ -114,7 +114,7 @@
 // medianClock returns the difference of the median of the daemons' clocks to this one's, and
 // whether most clocks of that many daemons are known. The caller holds the lock.
 func (p *usagePuller) medianClock(members int) (clock.Milli, bool) {
-	differences := []clock.Milli{0}
+	differences := make([]clock.Milli, 1, 1+len(p.clocks))
 	for _, d := range p.clocks {
 		differences = append(differences, d)
 	}
