lease: renew by the work, once a window

Renewals every 1.5 s and the reads that they end were about 1.3 calls a second to the store, more than the duty itself. A window and half a lease time without an append is still early enough for a takeover: a report is due 10 s after its window. The first windows, which ended before the system ran, are no longer logged as missed.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -13,11 +13,22 @@
 // retryDelay is the time between a failed call to the store and the next one.
 const retryDelay = 200 * clock.Millisecond
 
+// Timing has the times of a lease.
+type Timing struct {
+	// Lease limits how soon the calls of two holders follow each other: a holder sends within
+	// half of it after a confirmation, a new one only after the whole.
+	Lease clock.Milli
+	// Renew is the longest time between two appends of the holder.
+	Renew clock.Milli
+	// Takeover is how long the log stays unchanged before a candidate takes over.
+	Takeover clock.Milli
+}
+
 // Core is the state of one duty at one daemon. It is not safe for concurrent use. Its
 // instants are readings of a clock that advances during suspends.
 type Core struct {
-	self     string
-	duration clock.Milli
+	self   string
+	timing Timing
 
 	// end is the known end of the log, negative before it was read. log has its records by key.
 	end    feed.Position
@@ -38,6 +49,8 @@
 	// successful read. failed is set after a failed read.
 	changedAt clock.Milli
 	readAt    clock.Milli
+	// writtenAt is the start of the latest append.
+	writtenAt clock.Milli
 	failed    bool
 	retryAt   clock.Milli
 	// sendAfter is when this daemon may first send with heldToken.
@@ -48,8 +61,8 @@
 
 // New returns the state of a duty. The name self identifies the process; another process on
 // the same machine needs another one.
-func New(self string, duration clock.Milli) *Core {
-	return &Core{self: self, duration: duration, end: feed.PositionNone, log: make(map[string][]byte)}
+func New(self string, t Timing) *Core {
+	return &Core{self: self, timing: t, end: feed.PositionNone, log: make(map[string][]byte)}
 }
 
 // Held reports whether this daemon is the latest holder in the log.
@@ -69,7 +82,7 @@
 
 // Permit returns the permission to send, and whether there is one.
 func (c *Core) Permit(now clock.Milli) (Permit, bool) {
-	p := Permit{Token: c.record.Token, Until: c.confirmedAt + c.duration/2}
+	p := Permit{Token: c.record.Token, Until: c.confirmedAt + c.timing.Lease/2}
 	return p, c.Held() && now >= c.sendAfter && now < p.Until
 }
 
@@ -147,7 +160,7 @@
 	}
 	c.log[c.pending.Key] = c.pending.Value
 	c.pending, c.doubtful = nil, false
-	c.end, c.changedAt = end, now
+	c.end, c.changedAt, c.writtenAt = end, now, startedAt
 	c.recordCall(startedAt)
 	c.applyLease(now)
 }
@@ -181,7 +194,7 @@
 	}
 	c.highestToken = max(c.highestToken, c.record.Token)
 	if c.Held() && c.record.Token != c.heldToken {
-		c.heldToken, c.sendAfter = c.record.Token, now+c.duration
+		c.heldToken, c.sendAfter = c.record.Token, now+c.timing.Lease
 	}
 	if !c.Held() {
 		c.proposals = nil
--- a/internal/core/lease/model_test.go
+++ b/internal/core/lease/model_test.go
@@ -84,6 +84,7 @@
 type model struct {
 	g       *WithT
 	rand    *rand.Rand
+	lease   lease.Timing
 	now     clock.Milli
 	store   modelStore
 	nodes   []*modelNode
@@ -100,6 +101,10 @@
 		g: NewWithT(t), rand: rand.New(rand.NewPCG(seed, 7)), now: modelStart,
 		counts: map[int64]int64{}, holders: map[int64]int{}, tenures: map[int64]bool{},
 	}
+	m.lease = lease.Timing{Lease: modelLease, Renew: modelLease / 2, Takeover: modelLease}
+	if seed%2 == 1 {
+		m.lease.Renew, m.lease.Takeover = modelTiming.Length, modelTiming.Length+modelLease/2
+	}
 	for i := range 3 {
 		m.nodes = append(m.nodes, &modelNode{id: i, skew: clock.Milli(m.rand.IntN(40))})
 		m.restart(m.nodes[i])
@@ -112,7 +117,7 @@
 		n.delayed = append(n.delayed, n.call)
 	}
 	n.starts++
-	n.call, n.core = nil, lease.New(fmt.Sprint(n.id, "#", n.starts), modelLease)
+	n.call, n.core = nil, lease.New(fmt.Sprint(n.id, "#", n.starts), m.lease)
 }
 
 func (m *model) chance(perSecond float64) bool {
--- a/internal/core/lease/step.go
+++ b/internal/core/lease/step.go
@@ -58,7 +58,7 @@
 		return Step{}
 	}
 	wait := c.changedAt + c.takeoverAfter(s.Rank) - now
-	return Step{Action: ActionRead, At: c.end, Wait: max(0, min(wait, c.duration/2))}
+	return Step{Action: ActionRead, At: c.end, Wait: max(0, min(wait, c.timing.Takeover/2))}
 }
 
 // nextAppend returns the item to append, nil if none is due.
@@ -72,7 +72,7 @@
 		item := c.proposals[0]
 		c.proposals = c.proposals[1:]
 		return &item
-	case c.Held() && now-c.confirmedAt >= c.duration/2:
+	case c.Held() && now-c.writtenAt >= c.timing.Renew:
 		return leaseItem(c.record)
 	case !c.Held() && s.Rank >= 0 && !s.Stopping && c.isVacant(s.Rank):
 		return leaseItem(c.takeover(s.TrueTime))
@@ -101,7 +101,7 @@
 // takeoverAfter is how long the log stays unchanged before a candidate takes over. Later
 // candidates leave time to earlier ones.
 func (c *Core) takeoverAfter(rank int) clock.Milli {
-	return c.duration + clock.Milli(rank)*c.duration/3
+	return c.timing.Takeover + clock.Milli(rank)*c.timing.Lease/3
 }
 
 // takeover returns the lease record with which this daemon takes over.
--- a/internal/node/duty/runner.go
+++ b/internal/node/duty/runner.go
@@ -52,9 +52,9 @@
 	failing bool
 }
 
-// Init sets the name of this process and the lease time. It must be called before Serve.
-func (r *Runner) Init(self string, duration clock.Milli) {
-	r.core = lease.New(self, duration)
+// Init sets the name of this process and the times of the lease. It must be called before Serve.
+func (r *Runner) Init(self string, t lease.Timing) {
+	r.core = lease.New(self, t)
 }
 
 // Serve implements suture.Service.
--- a/internal/node/mesh/platform.go
+++ b/internal/node/mesh/platform.go
@@ -49,7 +49,7 @@
 // UsageSettings describe the duty to report usage.
 type UsageSettings struct {
 	Timing usage.Timing
-	// Lease is how long the holder of the duty may be silent before another one takes over.
+	// Lease limits how soon the reports of two holders follow each other.
 	Lease clock.Milli
 	// MinInterval is the least time between two reports.
 	MinInterval clock.Milli
--- a/internal/node/mesh/usage.go
+++ b/internal/node/mesh/usage.go
@@ -42,11 +42,15 @@
 	}
 	n.usage.collect = puller.collect
 	startAt := n.watch.startAt
+	earliest := int64(0)
+	if n.settings.FirstStart {
+		earliest = int64(n.usage.since / n.settings.Usage.Timing.Length)
+	}
 	n.usageDuty = &duty.Runner{
 		Name: usageDutyName, Topic: n.platform.Topics().Usage, Store: n.store, Log: n.log, Enabled: n.hasWorkspaces,
 		Work: &usageReporter{
 			name: n.settings.Name, settings: n.settings.Usage, log: n.log, meter: n.meter, platform: n.platform,
-			counter: n.usage, puller: puller,
+			counter: n.usage, puller: puller, earliest: earliest,
 		},
 		Situation: func(holder string) lease.Situation {
 			s := lease.Situation{Rank: -1, Stopping: n.lifecycle.stopping.Load(), TrueTime: n.usage.trueTime()}
@@ -56,13 +60,19 @@
 			return s
 		},
 	}
-	n.usageDuty.Init(n.self.ID+processSeparator+strconv.FormatUint(n.self.Incarnation, 10), n.settings.Usage.Lease)
+	n.usageDuty.Init(n.self.ID+processSeparator+strconv.FormatUint(n.self.Incarnation, 10), n.settings.Usage.leaseTiming())
 	n.usageDuty.Work.(*usageReporter).runner = n.usageDuty
 	n.usage.noteToken, n.usage.highestToken = n.usageDuty.NoteToken, n.usageDuty.HighestToken
 	n.meter.AddGauge("usage_duty_held", func() float64 { return gaugeValue(n.usageDuty.Token() > 0) })
 	n.meter.AddGauge("usage_duty_token", func() float64 { return float64(n.usageDuty.HighestToken()) })
 }
 
+// leaseTiming returns the times of the lease. Each window brings an append, which renews it.
+func (u *UsageSettings) leaseTiming() lease.Timing {
+	renew := max(u.Lease/2, u.Timing.Length)
+	return lease.Timing{Lease: u.Lease, Renew: renew, Takeover: renew + u.Lease/2}
+}
+
 // dutyRank returns the position of this daemon among the candidates for a duty, negative if
 // it is none. The holder is not among them.
 func (n *Node) dutyRank(holder string) int {
--- a/internal/node/mesh/usagereporter.go
+++ b/internal/node/mesh/usagereporter.go
@@ -42,6 +42,8 @@
 	// first is the first window of this tenure, which began at beganAt.
 	first   int64
 	beganAt clock.Milli
+	// earliest is the first window of the system, zero if it is not known.
+	earliest int64
 	// done has the windows that need no more work.
 	done map[int64]bool
 	// stored has the windows that were seen to be settled.
@@ -57,7 +59,7 @@
 
 // Begin implements duty.Work.
 func (u *usageReporter) Begin() {
-	u.first, u.beganAt = u.settings.Timing.First(u.counter.trueTime()), clock.Uptime()
+	u.first, u.beganAt = max(u.earliest, u.settings.Timing.First(u.counter.trueTime())), clock.Uptime()
 	u.done, u.stored = make(map[int64]bool), make(map[int64]bool)
 	u.puller.begin()
 	u.mu.Lock()
