place: let a slow report lose weight with its age

Seen: TestEndlessBytes "body to close" sent 40 of 40 calls to the upstream that never ends its answers, in a run of ./platform beside a load of 30 to 50; the limit is 10. The same figure was seen once before, beside less load.

Cause: the load report of a target counts less as it ages, but its service time did not. Targets whose last report came from a busy moment (a second against a few milliseconds) stayed more expensive than one that fails every call, and as they got no calls, no newer report replaced the old one.

Change: the part of a reported service time above the baseline loses half its weight in 2 s. TestFailingTargetIsAvoidedThoughOthersWereSlow became a table; its old case stands with the same bound, and the new row (a second) sent 40 of 40 calls to the failing target before.

Result: that row is below 3. That this is what happened in TestEndlessBytes is concluded from the figures, not traced in that run.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -44,8 +44,8 @@
 	// failureEWMAWeight is the weight of one result in a target's failure rate.
 	failureEWMAWeight = 0.25
 	// failureHalfLife is the age at which the failure rate of a target without calls
-	// has half its weight. A report that the target leaves or has a lower limit is
-	// ignored from the same age on.
+	// has half its weight, and so has a reported latency above the baseline. A report that
+	// the target leaves or has a lower limit is ignored from the same age on.
 	failureHalfLife = 2 * clock.Second
 	// failureCost is the cost of a failure rate of 1, and of a target that reported
 	// to leave, in mean service times.
@@ -232,7 +232,7 @@
 // for traffic between data centres.
 func (p *Picker) expectedCost(now clock.Milli, q *pick.Query, t *target) clock.Milli {
 	load, limit, slowdown := p.estimateLoad(now, t)
-	factor := slowdown * p.latencyRatio(t)
+	factor := slowdown * p.latencyRatio(now, t)
 	if load+1 > busyThreshold*limit {
 		factor *= busySlowdown
 	}
@@ -265,12 +265,14 @@
 }
 
 // latencyRatio returns the ratio of a target's latency to the baseline, without
-// the slowdown of its VM. Ratios up to slowLatencyRatio are noise and count as 1.
-func (p *Picker) latencyRatio(t *target) float64 {
+// the slowdown of its VM. Ratios up to slowLatencyRatio are noise and count as 1. An old
+// report counts less, so that a target that was slow is tried again.
+func (p *Picker) latencyRatio(now clock.Milli, t *target) float64 {
 	if !t.hasState || p.baselineLatency == 0 {
 		return 1
 	}
-	if r := float64(t.state.Latency / p.baselineLatency); r > slowLatencyRatio {
+	excess := float64(t.state.Latency/p.baselineLatency) - 1
+	if r := 1 + excess*ageWeight(now-t.state.ReceivedAt, failureHalfLife); r > slowLatencyRatio {
 		return r
 	}
 	return 1
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -115,6 +115,16 @@
 // because its calls were fast before and the last reports of the others were from a busy
 // moment.
 func TestFailingTargetIsAvoidedThoughOthersWereSlow(t *testing.T) {
+	tests := map[string]clock.Milli{"slow": 20, "very slow": clock.Second}
+	for name, latency := range tests {
+		t.Run(name, func(t *testing.T) { checkFailingTargetIsAvoided(t, latency) })
+	}
+}
+
+// checkFailingTargetIsAvoided checks that a target whose calls fail is abandoned although the
+// last report of the other one had a service time of the given length.
+func checkFailingTargetIsAvoided(t *testing.T, otherLatency clock.Milli) {
+	t.Helper()
 	g := NewWithT(t)
 	p := place.New(rand.New(rand.NewPCG(1, 2)))
 	p.SetTargets(now, []call.Target{newTarget("failing", "c1"), newTarget("other", "c1")})
@@ -124,7 +134,7 @@
 		p.RecordStart(at, id)
 		p.RecordResult(at, id, call.Result{Outcome: call.OutcomeAnswered, Latency: latency, Failed: failed, State: &state})
 	}
-	report(now, "other", 20, false)
+	report(now, "other", otherLatency, false)
 	for range 100 {
 		report(now, "failing", 2, false)
 	}
--- a/internal/core/place/room.go
+++ b/internal/core/place/room.go
@@ -22,7 +22,7 @@
 	case t.isLeaving(now), t.decayedFailureRate(now) > maxRoomFailureRate:
 		return false
 	default:
-		return p.latencyRatio(t) == 1
+		return p.latencyRatio(now, t) == 1
 	}
 }
 
