memory: charge what callers make a daemon hold to one budget

Cause: nothing bounds the sum of the bodies that a daemon reads before it chooses a target. Each connection, call, body and response is now charged before its bytes are taken; at the bound, accounts without progress are closed, those that hold most for longest first.

--- a/internal/base/httpd/httpd.go
+++ b/internal/base/httpd/httpd.go
@@ -22,6 +22,12 @@
 // pipelinePollInterval is how often Stop checks for unanswered pipelined requests.
 const pipelinePollInterval = 10 * clock.Millisecond
 
+// Gate charges connections for what they cost.
+type Gate interface {
+	Listener(l net.Listener) net.Listener
+	ConnContext(ctx context.Context, nc net.Conn) context.Context
+}
+
 // Server is a supervised HTTP server. HTTP and Listener must be set before Serve
 // is called.
 type Server struct {
@@ -32,7 +38,9 @@
 	// Pipeline, if set, runs pipelined requests concurrently. The handler of HTTP must
 	// be one that its Middleware returned.
 	Pipeline *pipe.Pipeline
-	closing  atomic.Bool
+	// Gate, if set, sees each connection.
+	Gate    Gate
+	closing atomic.Bool
 }
 
 // Serve implements suture.Service.
@@ -40,11 +48,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.HTTP.Close() })
 	defer stop()
 	listener := netutil.LimitListener(s.Listener, s.MaxConnections)
-	if s.Pipeline != nil {
-		listener = s.Pipeline.Listener(listener)
-		s.HTTP.ConnContext = s.Pipeline.ConnContext
-	}
-	err := s.HTTP.Serve(listener)
+	err := s.HTTP.Serve(s.wrap(listener))
 	if s.closing.Load() || errors.Is(err, http.ErrServerClosed) {
 		// A graceful stop closed the server; the supervisor must not restart it.
 		<-ctx.Done()
@@ -53,6 +57,26 @@
 	return err
 }
 
+// wrap adds the gate and the pipeline to the listener and to the contexts of connections.
+func (s *Server) wrap(l net.Listener) net.Listener {
+	if s.Gate != nil {
+		l = s.Gate.Listener(l)
+	}
+	if s.Pipeline != nil {
+		l = s.Pipeline.Listener(l)
+	}
+	s.HTTP.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		if s.Gate != nil {
+			ctx = s.Gate.ConnContext(ctx, nc)
+		}
+		if s.Pipeline != nil {
+			ctx = s.Pipeline.ConnContext(ctx, nc)
+		}
+		return ctx
+	}
+	return l
+}
+
 // Stop closes the listener, completes all requests and shuts the server down.
 // http.Server.Shutdown drops a request that the server is just reading, so Stop
 // waits before Shutdown for the requests on newly accepted connections.
--- a/internal/base/pipe/conn.go
+++ b/internal/base/pipe/conn.go
@@ -179,6 +179,9 @@
 	return !slices.ContainsFunc(c.queue, func(m *message) bool { return m.call != nil })
 }
 
+// NetConn returns the connection that is read ahead.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) { return c.inbox.Read(p) }
 
--- a/internal/node/mesh/metrics.go
+++ b/internal/node/mesh/metrics.go
@@ -11,6 +11,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/crash"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/memory"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/entry"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/guard"
 )
@@ -64,9 +65,21 @@
 	n.meter.AddGauge("version_answers", func() float64 { return float64(n.moves.evidence(n.settings.Service).Answers) })
 	n.meter.AddGauge("version_bad_answers", func() float64 { return float64(n.moves.evidence(n.settings.Service).Bad) })
 	n.meter.AddGauge("version_expected_bad_answers", func() float64 { return n.moves.evidence(n.settings.Service).Expected })
+	n.addMemoryGauges()
 	n.meter.AddGauge("guard_calls_in_progress", func() float64 { return float64(n.guard.InProgress()) })
 }
 
+// addMemoryGauges registers what callers make the daemon hold, by cause.
+func (n *Node) addMemoryGauges() {
+	n.meter.AddGauge("memory_limit_bytes", func() float64 { return float64(n.gate.Limit()) })
+	for c := range memory.NumCauses {
+		label := `{cause="` + c.String() + `"}`
+		n.meter.AddGauge("memory_charged_bytes"+label, func() float64 { return float64(n.gate.Usage(c).Bytes) })
+		n.meter.AddGauge("memory_refused_total"+label, func() float64 { return float64(n.gate.Usage(c).Refused) })
+		n.meter.AddGauge("memory_closed_total"+label, func() float64 { return float64(n.gate.Usage(c).Closed) })
+	}
+}
+
 func gaugeValue(b bool) float64 {
 	if b {
 		return 1
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -21,6 +21,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/health"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/charge"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/entry"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/guard"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
@@ -48,6 +49,7 @@
 	upstream        *upstream
 	guard           *guard.Guard
 	entry           *entry.Entry
+	gate            *charge.Gate
 	announcer       *announcer
 	links           *links
 	sync            *stateSync
@@ -138,13 +140,14 @@
 		checkDone: make(chan struct{}),
 	}
 	n.crashes = newCrashLog(n)
+	n.gate = charge.New(int64(callersMemoryShare*float64(s.MemoryBytes)), n.clock, n.log)
 	n.guard = guard.New(n.self, s.UpstreamAddr, n.clock,
-		guard.WithLogger(n.log), guard.WithAdmitter(n.upstream), guard.WithAdmissionCheck(n.checkAdmission),
+		guard.WithLogger(n.log), guard.WithGate(n.gate), guard.WithAdmitter(n.upstream), guard.WithAdmissionCheck(n.checkAdmission),
 		guard.WithNoticeHandler(n.upstream.handleNotice), guard.WithProtocol(p.UpstreamProtocol(n.upstream.instance, n.upstream.handleMisdirected)),
 		guard.WithPreAdmissionHook(n.refreshSlowdown), guard.WithIdleTimeout(upstreamIdleTimeout), guard.WithRequestErrorHandler(n.handleRequestError),
 		guard.WithSampleHandler(n.recordUpstream), guard.WithBreakHandler(n.crashes.handleBreak), guard.WithRefusalHandler(n.recordRefusal))
 	n.entry = entry.New(n.self, n.clock, n.pool, n.table, &rules{registry: n.registry, moves: n.moves},
-		entry.WithLogger(n.log), entry.WithProtocol(p.CallerProtocol(n.routes)), entry.WithNoTargetReason(call.ReasonNoTarget),
+		entry.WithLogger(n.log), entry.WithGate(n.gate), entry.WithProtocol(p.CallerProtocol(n.routes)), entry.WithNoTargetReason(call.ReasonNoTarget),
 		entry.WithPicker(newPicker), entry.WithRetrier(n.newRetrier), entry.WithProbeRate(0), entry.WithBodyLimits(maxBufferedBodyBytes, maxInlineBodyBytes),
 		entry.WithSummaryHandler(n.recordCall), entry.WithQuarantine(n.crashes), entry.WithLatestDeadline(n.lifecycle.latestDeadline))
 	self := peers.Record{
@@ -201,7 +204,7 @@
 	link.ShareSessions(n.pool, n.peerServer.Server)
 	pipeline := pipe.New(pipe.WithRepeatable(n.entry.MayRepeat), pipe.WithStopping(n.lifecycle.stopping.Load))
 	n.callerServer = newServer(alice.New(pipeline.Middleware).Then(n.entry))
-	n.callerServer.Pipeline = pipeline
+	n.callerServer.Pipeline, n.callerServer.Gate = pipeline, n.gate
 	n.controlServer = newServer(p.ControlHandler(n))
 	n.readinessServer = newServer(p.ReadinessHandler(n.checkReady))
 	n.metricsServer = newServer(n.meter)
--- a/internal/node/mesh/tuning.go
+++ b/internal/node/mesh/tuning.go
@@ -43,6 +43,11 @@
 	maxBufferedBodyBytes = 512 << 10
 	maxInlineBodyBytes   = 4 << 10
 
+	// callersMemoryShare is the share of the VM's memory that callers and other daemons may
+	// make the daemon hold. The rest is for the program, its state and what the garbage
+	// collector has not collected.
+	callersMemoryShare = 0.25
+
 	// upstreamIdleTimeout is how long an idle connection to the upstream is kept.
 	upstreamIdleTimeout = 4 * clock.Second
 
--- /dev/null
+++ b/internal/path/charge/gate.go
@@ -0,0 +1,249 @@
+// Package charge charges what callers and other daemons make a daemon hold to one budget. It
+// waits for room and closes the accounts that the budget names.
+package charge
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/memory"
+)
+
+// Fixed costs in bytes, with the stacks of their goroutines.
+const (
+	// ConnectionBytes is the cost of a caller's connection.
+	ConnectionBytes = 24 << 10
+	// CallBytes is the cost of a call besides its head and its body.
+	CallBytes = 16 << 10
+	// WindowBytes is what a stream between daemons receives before it is read, with the
+	// chunk in hand.
+	WindowBytes = 288 << 10
+)
+
+// roomWait is how long a call waits for room: time for accounts that are closed to end, and
+// short against the deadlines of callers.
+const roomWait = 500 * clock.Millisecond
+
+// Gate is the budget of a daemon. It is safe for concurrent use.
+type Gate struct {
+	clock clock.Clock
+	log   zerolog.Logger
+
+	mu      sync.Mutex
+	budget  *memory.Budget
+	closers map[*memory.Account]func()
+	waiters []*waiter
+	counts  [memory.NumCauses]Counts
+}
+
+// Counts are totals of one cause since the start.
+type Counts struct {
+	// Refused counts charges that found no room, Closed the accounts that were closed to
+	// make room for the cause.
+	Refused, Closed int64
+}
+
+// Usage is what is held for one cause, with its totals.
+type Usage struct {
+	Bytes int64
+	Counts
+}
+
+// waiter waits until its bytes are charged.
+type waiter struct {
+	account *memory.Account
+	cause   memory.Cause
+	bytes   int64
+	// granted is closed when the bytes are charged.
+	granted chan struct{}
+}
+
+// New returns a gate with a bound of limit bytes, none if limit is zero.
+func New(limit int64, clk clock.Clock, log zerolog.Logger) *Gate {
+	return &Gate{clock: clk, log: log, budget: memory.New(limit), closers: make(map[*memory.Account]func())}
+}
+
+// Limit returns the bound in bytes, zero if there is none.
+func (g *Gate) Limit() int64 {
+	return g.budget.Limit()
+}
+
+// Usage returns what is held for a cause.
+func (g *Gate) Usage(c memory.Cause) Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Usage{Bytes: g.budget.UsedFor(c), Counts: g.counts[c]}
+}
+
+// Open opens an account of an address. The function end is called, once and without the lock
+// of the gate, when the account must give its bytes back.
+func (g *Gate) Open(address string, end func()) *Account {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := &Account{gate: g, core: g.budget.Open(g.clock.Now(), address)}
+	g.closers[a.core] = func() {
+		a.ended = true
+		go end()
+	}
+	return a
+}
+
+// take charges bytes, or returns a waiter for them after it has closed what may be closed.
+func (g *Gate) take(a *memory.Account, c memory.Cause, n int64) *waiter {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.budget.Take(a, c, n) {
+		return nil
+	}
+	g.reclaim(a, c, n)
+	w := &waiter{account: a, cause: c, bytes: n, granted: make(chan struct{})}
+	g.waiters = append(g.waiters, w)
+	return w
+}
+
+// reclaim closes accounts to make room. The caller holds the lock.
+func (g *Gate) reclaim(a *memory.Account, c memory.Cause, n int64) {
+	now := g.clock.Now()
+	for _, v := range g.budget.Reclaim(now, a, c, n) {
+		g.counts[c].Closed++
+		g.log.Info().Str("caller", v.Address).Int64("bytes", v.Held()).Float64("stalled_ms", float64(v.StalledFor(now))).
+			Str("reason", "no_progress").Str("room_for", c.String()).Msg("caller_closed")
+		g.closers[v]()
+	}
+}
+
+// await waits until the bytes of w are charged, ctx ends or roomWait has passed.
+func (g *Gate) await(ctx context.Context, w *waiter) bool {
+	timer := time.NewTimer(roomWait.Duration())
+	defer timer.Stop()
+	select {
+	case <-w.granted:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i := slices.Index(g.waiters, w)
+	if i < 0 {
+		return true
+	}
+	g.waiters = slices.Delete(g.waiters, i, i+1)
+	g.counts[w.cause].Refused++
+	// What has stalled meanwhile makes room for the next one.
+	g.reclaim(w.account, w.cause, w.bytes)
+	return false
+}
+
+// tryTake charges bytes if there is room at once.
+func (g *Gate) tryTake(a *memory.Account, c memory.Cause, n int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.budget.Take(a, c, n) {
+		return true
+	}
+	g.counts[c].Refused++
+	g.reclaim(a, c, n)
+	return false
+}
+
+// grant charges the bytes of the waiters that now have room, in the order in which they
+// came. The caller holds the lock.
+func (g *Gate) grant() {
+	if len(g.waiters) == 0 {
+		return
+	}
+	g.waiters = slices.DeleteFunc(g.waiters, func(w *waiter) bool {
+		if !g.budget.Take(w.account, w.cause, w.bytes) {
+			return false
+		}
+		close(w.granted)
+		return true
+	})
+}
+
+// Account is what one connection or call holds. It is safe for concurrent use.
+type Account struct {
+	gate *Gate
+	core *memory.Account
+	// ended is set when the account must give its bytes back.
+	ended bool
+}
+
+// Take charges n bytes. If there is no room, it waits for a while, and reports whether the
+// bytes were charged. The wait does not count as a lack of progress.
+func (a *Account) Take(ctx context.Context, c memory.Cause, n int64) bool {
+	if a.Ended() {
+		return false
+	}
+	w := a.gate.take(a.core, c, n)
+	if w == nil {
+		return true
+	}
+	wasAttended := a.attend(false)
+	ok := a.gate.await(ctx, w)
+	a.attend(wasAttended)
+	return ok
+}
+
+// TryTake is Take without a wait.
+func (a *Account) TryTake(c memory.Cause, n int64) bool {
+	return a.gate.tryTake(a.core, c, n)
+}
+
+// Give gives n bytes back.
+func (a *Account) Give(c memory.Cause, n int64) {
+	a.gate.mu.Lock()
+	defer a.gate.mu.Unlock()
+	a.gate.budget.Give(a.core, c, n)
+	a.gate.grant()
+}
+
+// Progress records that the other side sent or took n bytes.
+func (a *Account) Progress(n int) {
+	a.gate.mu.Lock()
+	defer a.gate.mu.Unlock()
+	a.core.Progress(a.gate.clock.Now(), n)
+}
+
+// Expect says that the other side now has to send or take n bytes.
+func (a *Account) Expect(n int) {
+	a.gate.mu.Lock()
+	defer a.gate.mu.Unlock()
+	a.core.Expect(a.gate.clock.Now(), n)
+}
+
+// Attend says whether the other side has to act from now on. Only then may the account be
+// ended for others.
+func (a *Account) Attend(attended bool) {
+	a.attend(attended)
+}
+
+func (a *Account) attend(attended bool) (before bool) {
+	a.gate.mu.Lock()
+	defer a.gate.mu.Unlock()
+	before = a.core.Attended()
+	a.core.Attend(a.gate.clock.Now(), attended)
+	return before
+}
+
+// Ended reports whether the account must give its bytes back.
+func (a *Account) Ended() bool {
+	a.gate.mu.Lock()
+	defer a.gate.mu.Unlock()
+	return a.ended
+}
+
+// Close gives all bytes back.
+func (a *Account) Close() {
+	a.gate.mu.Lock()
+	defer a.gate.mu.Unlock()
+	a.gate.budget.Close(a.core)
+	delete(a.gate.closers, a.core)
+	a.gate.grant()
+}
--- a/internal/path/entry/attempt.go
+++ b/internal/path/entry/attempt.go
@@ -91,7 +91,7 @@
 		Workspace:        r.Workspace,
 	}
 	if runner.body.fitsInline(runner.entry.maxInlineBytes) {
-		c.Body = runner.body.buffered
+		c.Body = runner.body.buffered.contiguous()
 		c.BodyComplete = true
 	}
 	return &wire.Frame{Body: &wire.Frame_CallStart{CallStart: c}}
--- a/internal/path/entry/body.go
+++ b/internal/path/entry/body.go
@@ -1,11 +1,12 @@
 package entry
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"sync/atomic"
 
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/memory"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/charge"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
@@ -17,7 +18,9 @@
 // known length, or one with trailers, is read only after a guard has admitted the
 // call.
 type requestBody struct {
-	buffered []byte
+	buffered blocks
+	// account is charged for buffered and for what is read later.
+	account *charge.Account
 	// complete is set if buffered contains the whole body.
 	complete bool
 	// unbuffered reads the part of the body that follows buffered.
@@ -35,8 +38,8 @@
 	httpReq      *http.Request
 }
 
-func readBody(httpReq *http.Request, maxBuffered int64) (*requestBody, error) {
-	b := &requestBody{unbuffered: httpReq.Body, contentLength: httpReq.ContentLength, httpReq: httpReq}
+func readBody(httpReq *http.Request, maxBuffered int64, account *charge.Account) (*requestBody, error) {
+	b := &requestBody{unbuffered: httpReq.Body, contentLength: httpReq.ContentLength, httpReq: httpReq, account: account}
 	for name := range httpReq.Trailer {
 		b.trailerNames = append(b.trailerNames, name)
 	}
@@ -49,14 +52,15 @@
 	if httpReq.ContentLength > maxBuffered || len(b.trailerNames) > 0 {
 		return b, nil
 	}
-	prefix, err := io.ReadAll(io.LimitReader(httpReq.Body, maxBuffered))
-	if err != nil {
-		return nil, err
+	account.Expect(0)
+	defer account.Attend(false)
+	if err := b.buffered.readFrom(httpReq, maxBuffered, account); err != nil {
+		return b, err
 	}
-	b.buffered = prefix
-	b.complete = int64(len(prefix)) < maxBuffered || int64(len(prefix)) == httpReq.ContentLength
+	size := int64(b.buffered.size)
+	b.complete = size < maxBuffered || size == httpReq.ContentLength
 	if b.complete {
-		b.contentLength = int64(len(prefix))
+		b.contentLength = size
 	}
 	return b, nil
 }
@@ -64,7 +68,7 @@
 // fitsInline reports whether the body is sent in the CallStart message. A larger
 // one is sent only after the guard has admitted the call.
 func (b *requestBody) fitsInline(limit int) bool {
-	return b.complete && len(b.buffered) <= limit
+	return b.complete && b.buffered.size <= limit
 }
 
 // mayHaveUnreadData reports whether a part of the body may still be unread on the
@@ -77,10 +81,17 @@
 // streamTo sends the whole body in chunks. It is used if the CallStart message did
 // not contain the body.
 func (b *requestBody) streamTo(st *link.Stream) error {
-	src := io.MultiReader(bytes.NewReader(b.buffered), b.unbuffered)
+	if !b.complete {
+		if !b.account.Take(b.httpReq.Context(), memory.Body, link.MaxChunkBytes) {
+			return errNoRoom
+		}
+		b.account.Expect(0)
+	}
+	src := io.MultiReader(b.buffered.reader(), b.unbuffered)
 	buf := make([]byte, link.MaxChunkBytes)
 	for {
 		n, err := src.Read(buf)
+		b.account.Progress(n)
 		last := err == io.EOF
 		if last {
 			b.readToEnd.Store(true)
@@ -95,11 +106,14 @@
 		if last && len(b.trailerNames) > 0 {
 			chunk.Trailers = header.Encode(b.httpReq.Trailer)
 		}
+		// The guard's reads are not the caller's progress.
+		b.account.Attend(false)
 		if err := st.Send(&wire.Frame{Body: &wire.Frame_BodyChunk{BodyChunk: chunk}}); err != nil {
 			return err
 		}
 		if last {
 			return nil
 		}
+		b.account.Attend(!b.complete)
 	}
 }
--- /dev/null
+++ b/internal/path/entry/cutoff.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// cutOff ends the part that a caller has in a call: reading its body, and later writing to
+// it. It is safe for concurrent use.
+type cutOff struct {
+	mu         sync.Mutex
+	writer     http.ResponseWriter
+	responding bool
+	over       bool
+}
+
+// run makes the pending and later reads, or the writes of a response, fail. A request whose
+// body is cut off still gets a response.
+func (c *cutOff) run() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.over {
+		return
+	}
+	rc := http.NewResponseController(c.writer)
+	past := time.Unix(1, 0)
+	if c.responding {
+		_ = rc.SetWriteDeadline(past)
+		return
+	}
+	_ = rc.SetReadDeadline(past)
+}
+
+// respond says that the response begins.
+func (c *cutOff) respond() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responding = true
+}
+
+// end says that the handler of the call returns. The connection may get another request.
+func (c *cutOff) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = true
+}
--- a/internal/path/entry/entry.go
+++ b/internal/path/entry/entry.go
@@ -15,6 +15,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/pick"
 	core "gitlab.com/cranberrytack/cranberrytack/internal/core/probe"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/retry"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/charge"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 )
 
@@ -78,6 +79,7 @@
 	noTargetReason   call.Reason
 	maxBufferedBytes int64
 	maxInlineBytes   int
+	gate             *charge.Gate
 	newPicker        func(*rand.Rand) Picker
 	quarantine       Quarantine
 	latestDeadline   func() clock.Milli
@@ -108,6 +110,12 @@
 	return func(e *Entry) { e.maxBufferedBytes, e.maxInlineBytes = maxBuffered, maxInline }
 }
 
+// WithGate sets the budget to which calls are charged. Without it, nothing bounds what they
+// hold.
+func WithGate(g *charge.Gate) Option {
+	return func(e *Entry) { e.gate = g }
+}
+
 // WithRetrier replaces the constructor of retriers, which is called once for each
 // service.
 func WithRetrier(f func() Retrier) Option {
@@ -144,6 +152,7 @@
 		noTargetReason:   call.ReasonUnknownService,
 		maxBufferedBytes: link.MaxInlineBodyBytes,
 		maxInlineBytes:   link.MaxInlineBodyBytes,
+		gate:             charge.New(0, clk, zerolog.Nop()),
 		newPicker:        func(r *rand.Rand) Picker { return pick.New(r) },
 		quarantine:       noQuarantine{},
 		latestDeadline:   func() clock.Milli { return 0 },
--- a/internal/path/entry/quarantine.go
+++ b/internal/path/entry/quarantine.go
@@ -31,7 +31,7 @@
 // setFingerprint sets the fingerprint of the request. The part of the body that was not read
 // before the first attempt does not count.
 func (r *callRunner) setFingerprint() {
-	r.request.Fingerprint = uint64(crash.NewFingerprint(r.body.buffered, r.request.Caller, r.httpReq.Method, r.httpReq.Host, r.httpReq.URL.RequestURI()))
+	r.request.Fingerprint = uint64(crash.FingerprintOfBlocks(r.body.buffered.list, r.request.Caller, r.httpReq.Method, r.httpReq.Host, r.httpReq.URL.RequestURI()))
 }
 
 // isHeld reports whether the request must not run now, and ends the call if so.
--- a/internal/path/entry/response.go
+++ b/internal/path/entry/response.go
@@ -4,6 +4,8 @@
 	"net/http"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/memory"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/charge"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
@@ -21,7 +23,7 @@
 	summary := runner.summary(call.OutcomeAnswered, truncation, int(a.head.GetStatus()))
 	a.reusable = truncation == call.ReasonNone && runner.body.fitsInline(runner.entry.maxInlineBytes)
 	if truncation != call.ReasonNone {
-		res.Failed = truncation != call.ReasonCancelled
+		res.Failed = truncation != call.ReasonCancelled && truncation != call.ReasonMemory
 		res.Reason = truncation
 	}
 	runner.service.recordResult(now, a.target.ID, res)
@@ -41,6 +43,9 @@
 	rc := http.NewResponseController(runner.respWriter)
 	contentLength := a.head.GetContentLength()
 	var received int64
+	if !a.reserveResponse() {
+		return nil, call.ReasonMemory
+	}
 	for {
 		f, err := a.stream.Receive()
 		if err != nil {
@@ -51,7 +56,7 @@
 			if contentLength >= 0 && received > contentLength {
 				return nil, call.ReasonUpstreamFailed
 			}
-			if _, err := runner.respWriter.Write(c.GetData()); err != nil {
+			if err := a.write(c.GetData()); err != nil {
 				return nil, call.ReasonCancelled
 			}
 			if contentLength < 0 {
@@ -68,6 +73,30 @@
 	}
 }
 
+// reserveResponse charges what the stream may receive before the caller takes it. A response
+// of one chunk is part of the cost of the call.
+func (a *attempt) reserveResponse() bool {
+	runner := a.runner
+	runner.cutOff.respond()
+	n := a.head.GetContentLength()
+	if n >= 0 && n <= link.MaxChunkBytes {
+		return true
+	}
+	if n < 0 || n > charge.WindowBytes {
+		n = charge.WindowBytes
+	}
+	return runner.account.Take(runner.httpReq.Context(), memory.Response, n)
+}
+
+// write writes a part of the response to the caller, who has to take it.
+func (a *attempt) write(data []byte) error {
+	account := a.runner.account
+	account.Expect(len(data))
+	_, err := a.runner.respWriter.Write(data)
+	account.Attend(false)
+	return err
+}
+
 // truncationReason returns why the stream ended before the end of the response.
 func (a *attempt) truncationReason() call.Reason {
 	runner := a.runner
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -12,6 +12,8 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/memory"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/charge"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
@@ -24,7 +26,9 @@
 	callStart *wire.CallStart
 	request   *call.Request
 	// body is nil if CallStart contained the whole body.
-	body         *bodyReader
+	body *bodyReader
+	// account is charged for what the call holds.
+	account      *charge.Account
 	trace        connTrace
 	receivedAt   clock.Milli
 	dispatchedAt clock.Milli
@@ -37,6 +41,10 @@
 func (x *exchange) run(ctx context.Context) bool {
 	g := x.stream.guard
 	defer func() { g.finishCall(x.request.ID, x.result) }()
+	if !x.reserveBody() {
+		x.result.NotRun = true
+		return x.stream.refuse(x.callStart, refusal{outcome: call.OutcomeNotRun, reason: call.ReasonMemory})
+	}
 	body, ok := x.openBody(ctx)
 	if !ok {
 		return false
@@ -68,6 +76,11 @@
 	return ok
 }
 
+// reserveBody charges the window through which a body arrives, unless CallStart contained it.
+func (x *exchange) reserveBody() bool {
+	return x.callStart.GetBodyComplete() || x.account.TryTake(memory.Body, charge.WindowBytes)
+}
+
 // openBody returns the request body. If CallStart did not contain all of it, the
 // entry sends the body after the message Admitted, which openBody sends.
 func (x *exchange) openBody(ctx context.Context) (io.ReadCloser, bool) {
@@ -76,7 +89,7 @@
 		return io.NopCloser(bytes.NewReader(x.callStart.GetBody())), true
 	}
 	err := x.stream.link.Send(&wire.Frame{Body: &wire.Frame_Admitted{Admitted: &wire.Admitted{Id: x.callStart.GetId()}}})
-	x.body = &bodyReader{ctx: ctx, stream: x.stream, trailer: announcedTrailers(x.callStart)}
+	x.body = &bodyReader{ctx: ctx, stream: x.stream, account: x.account, trailer: announcedTrailers(x.callStart)}
 	return x.body, err == nil
 }
 
@@ -160,7 +173,7 @@
 		ContentLength: resp.ContentLength,
 	}
 	end := &wire.ReplyEnd{Id: x.callStart.GetId()}
-	if g.protocol.BufferResponses() || isShort(resp) {
+	if (g.protocol.BufferResponses() || isShort(resp)) && x.reserveResponse(resp) {
 		body, err := bufferResponse(resp)
 		if err != nil {
 			reason := call.ReasonUpstreamFailed
@@ -181,6 +194,26 @@
 	return end.GetError() == "" && x.bodyReceived()
 }
 
+// reserveResponse charges what bufferResponse holds. A response that finds no room is
+// passed on as it comes. One of a chunk is part of the cost of the call.
+func (x *exchange) reserveResponse(resp *http.Response) bool {
+	if isShort(resp) {
+		return true
+	}
+	n := int64(maxBufferedResponseBytes)
+	if resp.ContentLength >= 0 {
+		n = min(n, resp.ContentLength)
+	}
+	return x.account.TryTake(memory.Response, n)
+}
+
+// send sends frames to the entry, which has to take them.
+func (x *exchange) send(frames []*wire.Frame) error {
+	x.account.Expect(link.MaxChunkBytes)
+	defer x.account.Attend(false)
+	return x.stream.link.Send(frames...)
+}
+
 // sendResponse sends head, body and end of the response. A short response of known
 // length is sent with one write.
 func (x *exchange) sendResponse(head *wire.ReplyHead, end *wire.ReplyEnd, resp *http.Response) error {
@@ -203,9 +236,9 @@
 		}
 		if err != nil {
 			x.completeReplyEnd(end, err, resp)
-			return x.stream.link.Send(append(frames, endFrame)...)
+			return x.send(append(frames, endFrame))
 		}
-		if err := x.stream.link.Send(frames...); err != nil {
+		if err := x.send(frames); err != nil {
 			return err
 		}
 		frames = frames[:0]
--- a/internal/path/guard/guard.go
+++ b/internal/path/guard/guard.go
@@ -13,6 +13,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/ledger"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/probe"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/charge"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
@@ -53,6 +54,7 @@
 	preAdmission   func(ctx context.Context, r *call.Request)
 	onNotice       func(call.Notice)
 	onBreak        func(*call.Request) bool
+	gate           *charge.Gate
 
 	mu               sync.Mutex
 	probeBudget      *probe.UpstreamBudget
@@ -115,6 +117,12 @@
 	return func(g *Guard) { g.onBreak = f }
 }
 
+// WithGate sets the budget to which calls are charged. Without it, nothing bounds what they
+// hold.
+func WithGate(g *charge.Gate) Option {
+	return func(x *Guard) { x.gate = g }
+}
+
 // WithIdleTimeout sets how long an idle connection to the upstream is kept. It must
 // be shorter than the upstream's own idle timeout.
 func WithIdleTimeout(d clock.Milli) Option {
@@ -165,6 +173,7 @@
 		preAdmission:     func(context.Context, *call.Request) {},
 		onNotice:         func(call.Notice) {},
 		onBreak:          func(*call.Request) bool { return false },
+		gate:             charge.New(0, clk, zerolog.Nop()),
 		probeBudget:      probe.NewUpstreamBudget(probe.UpstreamProbesPerWindow),
 		admitter:         admit.New(self.Slots),
 		ledger:           ledger.New(),
--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -5,12 +5,16 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/memory"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/charge"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
@@ -92,15 +96,40 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (r.Deadline - now).Duration())
 	defer cancel()
+	account, closeAccount := s.openAccount()
+	defer closeAccount()
+	if !account.TryTake(memory.Call, charge.CallBytes+int64(2*proto.Size(c))) {
+		return s.refuse(c, refusal{outcome: call.OutcomeNotRun, reason: call.ReasonMemory})
+	}
 	g.preAdmission(ctx, r)
 	if refused := g.awaitAdmission(ctx, r); refused.reason != call.ReasonNone {
 		refused.outcome = refusalOutcome(refused.reason)
 		return s.refuse(c, refused)
 	}
-	x := &exchange{stream: s, callStart: c, request: r, receivedAt: now}
+	x := &exchange{stream: s, callStart: c, request: r, receivedAt: now, account: account}
 	return x.run(ctx)
 }
 
+// openAccount opens the account of a call. The end of the account interrupts the stream as
+// long as the call lasts, and no later call on it.
+func (s *stream) openAccount() (*charge.Account, func()) {
+	var mu sync.Mutex
+	over := false
+	account := s.guard.gate.Open(s.link.Session().Peer().Member, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !over {
+			s.link.Interrupt()
+		}
+	})
+	return account, func() {
+		mu.Lock()
+		over = true
+		mu.Unlock()
+		account.Close()
+	}
+}
+
 // refusalOutcome returns the outcome of a call that was not dispatched. That of a
 // duplicate is unknown, as the first request with its id may have run.
 func refusalOutcome(reason call.Reason) call.Outcome {
@@ -177,7 +206,9 @@
 type bodyReader struct {
 	ctx    context.Context
 	stream *stream
-	unread []byte
+	// account is attended while the entry has to send.
+	account *charge.Account
+	unread  []byte
 	// receivedLast is set when the last chunk was received. The exchange reads
 	// it while the HTTP client may still read the body, as a response may start
 	// before the end of its request.
@@ -192,7 +223,9 @@
 		if b.receivedLast.Load() {
 			return 0, io.EOF
 		}
+		b.account.Expect(link.MaxChunkBytes)
 		f := b.stream.nextFrame(b.ctx)
+		b.account.Attend(false)
 		if f == nil || f.GetBodyChunk() == nil {
 			return 0, errBodyTruncated
 		}
