charge: let responses wait before bodies

Cause: with the crowd of whole bodies, two answers of honest uploads found no room, because blocks of 16 KiB overtook them. Responses now wait up to two seconds and before bodies, and each waiter looks for accounts that stall meanwhile.

--- a/internal/path/charge/gate.go
+++ b/internal/path/charge/gate.go
@@ -25,9 +25,15 @@
 	WindowBytes = 288 << 10
 )
 
-// roomWait is how long a call waits for room: time for accounts that are closed to end, and
-// short against the deadlines of callers.
-const roomWait = 500 * clock.Millisecond
+const (
+	// roomWait is how long a call waits for room: time for accounts that are closed to end,
+	// and short against the deadlines of callers.
+	roomWait = 500 * clock.Millisecond
+	// responseWait is the same for a response, whose request has run.
+	responseWait = 2 * clock.Second
+	// reclaimInterval is how often a waiter looks for accounts that have stalled meanwhile.
+	reclaimInterval = 100 * clock.Millisecond
+)
 
 // Gate is the budget of a daemon. It is safe for concurrent use.
 type Gate struct {
@@ -97,7 +103,8 @@
 func (g *Gate) take(a *memory.Account, c memory.Cause, n int64) *waiter {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.budget.Take(a, c, n) {
+	// A body does not overtake those that wait, such as a larger response.
+	if (c != memory.Body || len(g.waiters) == 0) && g.budget.Take(a, c, n) {
 		return nil
 	}
 	g.reclaim(a, c, n)
@@ -117,16 +124,42 @@
 	}
 }
 
-// await waits until the bytes of w are charged, ctx ends or roomWait has passed.
+// await waits until the bytes of w are charged, ctx ends or the time for a wait has passed.
 func (g *Gate) await(ctx context.Context, w *waiter) bool {
-	timer := time.NewTimer(roomWait.Duration())
+	wait := roomWait
+	if w.cause == memory.Response {
+		wait = responseWait
+	}
+	timer := time.NewTimer(wait.Duration())
 	defer timer.Stop()
-	select {
-	case <-w.granted:
-		return true
-	case <-ctx.Done():
-	case <-timer.C:
+	ticker := time.NewTicker(reclaimInterval.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.granted:
+			return true
+		case <-ticker.C:
+			g.reclaimFor(w)
+			continue
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		return g.leave(w)
 	}
+}
+
+// reclaimFor closes accounts that have stalled since w waits.
+func (g *Gate) reclaimFor(w *waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.grant()
+	if slices.Contains(g.waiters, w) {
+		g.reclaim(w.account, w.cause, w.bytes)
+	}
+}
+
+// leave ends the wait of w and reports whether its bytes were charged after all.
+func (g *Gate) leave(w *waiter) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	i := slices.Index(g.waiters, w)
@@ -135,8 +168,7 @@
 	}
 	g.waiters = slices.Delete(g.waiters, i, i+1)
 	g.counts[w.cause].Refused++
-	// What has stalled meanwhile makes room for the next one.
-	g.reclaim(w.account, w.cause, w.bytes)
+	g.grant()
 	return false
 }
 
@@ -153,13 +185,19 @@
 }
 
 // grant charges the bytes of the waiters that now have room, in the order in which they
-// came. The caller holds the lock.
+// came. Bodies come last, so that their small blocks don't take the room of a response. The
+// caller holds the lock.
 func (g *Gate) grant() {
-	if len(g.waiters) == 0 {
-		return
+	g.grantIf(func(c memory.Cause) bool { return c != memory.Body })
+	if !slices.ContainsFunc(g.waiters, func(w *waiter) bool { return w.cause == memory.Response }) {
+		g.grantIf(func(c memory.Cause) bool { return c == memory.Body })
 	}
+}
+
+// grantIf is grant for the waiters of some causes.
+func (g *Gate) grantIf(matches func(memory.Cause) bool) {
 	g.waiters = slices.DeleteFunc(g.waiters, func(w *waiter) bool {
-		if !g.budget.Take(w.account, w.cause, w.bytes) {
+		if !matches(w.cause) || !g.budget.Take(w.account, w.cause, w.bytes) {
 			return false
 		}
 		close(w.granted)
--- a/internal/path/entry/blocks.go
+++ b/internal/path/entry/blocks.go
@@ -38,7 +38,7 @@
 		n, err := readBlock(httpReq.Body, block, account)
 		b.list = append(b.list, block[:n])
 		b.size += n
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
