charge: count what windows and exchanges really cost

The buffer of a stream grows by doubling, and an exchange has a chunk, its frame and a connection. Responses beyond a sixteenth of the bound don't wait.

--- a/internal/path/charge/gate.go
+++ b/internal/path/charge/gate.go
@@ -20,9 +20,12 @@
 	ConnectionBytes = 24 << 10
 	// CallBytes is the cost of a call besides its head and its body.
 	CallBytes = 16 << 10
-	// WindowBytes is what a stream between daemons receives before it is read, with the
-	// chunk in hand.
-	WindowBytes = 288 << 10
+	// ExchangeBytes is the cost of a call at the upstream: its connection, a chunk of the
+	// response and the frame with it.
+	ExchangeBytes = 80 << 10
+	// WindowBytes is what a stream between daemons receives before it is read, 256 KiB in a
+	// buffer that grows by doubling, with the chunk in hand.
+	WindowBytes = 544 << 10
 )
 
 const (
@@ -31,6 +34,9 @@
 	roomWait = 500 * clock.Millisecond
 	// responseWait is the same for a response, whose request has run.
 	responseWait = 2 * clock.Second
+	// maxWaitingResponses is the share of the limit that responses may wait for. The start
+	// of such a response arrives whether there is room or not.
+	maxWaitingResponses = 1.0 / 16
 	// reclaimInterval is how often a waiter looks for accounts that have stalled meanwhile.
 	reclaimInterval = 100 * clock.Millisecond
 )
@@ -67,6 +73,8 @@
 	bytes   int64
 	// granted is closed when the bytes are charged.
 	granted chan struct{}
+	// refused is set if the bytes must not wait.
+	refused bool
 }
 
 // New returns a gate with a bound of limit bytes, none if limit is zero.
@@ -109,10 +117,26 @@
 	}
 	g.reclaim(a, c, n)
 	w := &waiter{account: a, cause: c, bytes: n, granted: make(chan struct{})}
+	if c == memory.Response && float64(g.waitingFor(c)+n) > maxWaitingResponses*float64(g.budget.Limit()) {
+		g.counts[c].Refused++
+		w.refused = true
+		return w
+	}
 	g.waiters = append(g.waiters, w)
 	return w
 }
 
+// waitingFor returns the bytes that wait for a cause. The caller holds the lock.
+func (g *Gate) waitingFor(c memory.Cause) int64 {
+	var n int64
+	for _, w := range g.waiters {
+		if w.cause == c {
+			n += w.bytes
+		}
+	}
+	return n
+}
+
 // reclaim closes accounts to make room. The caller holds the lock.
 func (g *Gate) reclaim(a *memory.Account, c memory.Cause, n int64) {
 	now := g.clock.Now()
@@ -220,8 +244,8 @@
 		return false
 	}
 	w := a.gate.take(a.core, c, n)
-	if w == nil {
-		return true
+	if w == nil || w.refused {
+		return w == nil
 	}
 	wasAttended := a.attend(false)
 	ok := a.gate.await(ctx, w)
--- a/internal/path/entry/response.go
+++ b/internal/path/entry/response.go
@@ -82,9 +82,10 @@
 	if n >= 0 && n <= link.MaxChunkBytes {
 		return true
 	}
-	if n < 0 || n > charge.WindowBytes {
-		n = charge.WindowBytes
+	if n < 0 || n > charge.WindowBytes/2 {
+		n = charge.WindowBytes / 2
 	}
+	n *= 2
 	return runner.account.Take(runner.httpReq.Context(), memory.Response, n)
 }
 
--- a/internal/path/guard/buffer.go
+++ b/internal/path/guard/buffer.go
@@ -17,7 +17,8 @@
 func bufferResponse(resp *http.Response) (io.Reader, error) {
 	var buf bytes.Buffer
 	if resp.ContentLength > 0 {
-		buf.Grow(int(min(resp.ContentLength, maxBufferedResponseBytes)))
+		// With less, the buffer grows once more to see the end.
+		buf.Grow(int(min(resp.ContentLength, maxBufferedResponseBytes)) + bytes.MinRead)
 	}
 	n, err := io.Copy(&buf, io.LimitReader(resp.Body, maxBufferedResponseBytes))
 	if err != nil {
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -41,7 +41,7 @@
 func (x *exchange) run(ctx context.Context) bool {
 	g := x.stream.guard
 	defer func() { g.finishCall(x.request.ID, x.result) }()
-	if !x.reserveBody() {
+	if !x.reserve() {
 		x.result.NotRun = true
 		return x.stream.refuse(x.callStart, refusal{outcome: call.OutcomeNotRun, reason: call.ReasonMemory})
 	}
@@ -76,8 +76,12 @@
 	return ok
 }
 
-// reserveBody charges the window through which a body arrives, unless CallStart contained it.
-func (x *exchange) reserveBody() bool {
+// reserve charges what the exchange takes, and the window through which a body arrives unless
+// CallStart contained it.
+func (x *exchange) reserve() bool {
+	if !x.account.TryTake(memory.Call, charge.ExchangeBytes) {
+		return false
+	}
 	return x.callStart.GetBodyComplete() || x.account.TryTake(memory.Body, charge.WindowBytes)
 }
 
@@ -200,9 +204,10 @@
 	if isShort(resp) {
 		return true
 	}
-	n := int64(maxBufferedResponseBytes)
+	// A buffer of unknown length grows by doubling.
+	n := int64(2 * maxBufferedResponseBytes)
 	if resp.ContentLength >= 0 {
-		n = min(n, resp.ContentLength)
+		n = min(maxBufferedResponseBytes, resp.ContentLength)
 	}
 	return x.account.TryTake(memory.Response, n)
 }
