guard: end a send when its entry has left

Cause: found with slow readers. A guard that waited for the window of a stream whose entry had closed it waited until the multiplexer reset the stream after a minute, with a slot, its buffer and the entry's window.

--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -53,6 +53,9 @@
 // progress.
 func (s *stream) receiveFrames(ctx context.Context, cancel context.CancelFunc) {
 	defer cancel()
+	// A response that waits for the window of an entry that has left would wait until the
+	// multiplexer resets the stream, and hold a slot and the window.
+	defer s.link.Interrupt()
 	for {
 		f, err := s.link.Receive()
 		if err != nil {
