pipe: charge requests that are read ahead

Cause: up to 16 requests of 20 KiB wait on each of 1,500 connections. Without room the server reads them itself. The share of the memory that callers get is a fifth, so that 64 MB leave room for the collector.

--- a/internal/base/pipe/conn.go
+++ b/internal/base/pipe/conn.go
@@ -73,8 +73,9 @@
 		res := s.next(data)
 		c.mu.Unlock()
 		// The server must not reach a message before it is recorded.
-		if res.message != nil {
-			c.enqueue(res.message)
+		if res.message != nil && !c.enqueue(res.message) {
+			c.inbox.add(data)
+			return false
 		}
 		c.startEligible()
 		c.inbox.add(data[:res.consumed])
@@ -87,8 +88,14 @@
 	return true
 }
 
-// enqueue records a message. It waits while too many are recorded.
-func (c *conn) enqueue(m *message) {
+// enqueue records a message. It waits while too many are recorded, and reports false if there
+// is no room for it.
+func (c *conn) enqueue(m *message) bool {
+	give, ok := c.pipeline.room(c.ctx, m.cost())
+	if !ok {
+		return false
+	}
+	m.give = give
 	overlaps := c.pipeline.repeatable(m.request)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -96,9 +103,12 @@
 		c.changed.Wait()
 	}
 	m.overlaps = overlaps
-	if !c.closed {
-		c.queue = append(c.queue, m)
+	if c.closed {
+		m.give()
+		return true
 	}
+	c.queue = append(c.queue, m)
+	return true
 }
 
 // startEligible starts the queued requests that may run now.
@@ -151,8 +161,11 @@
 // end records that the server has handled the active message.
 func (c *conn) end() {
 	c.mu.Lock()
-	if c.active != nil && c.active.call != nil {
-		c.pipeline.unanswered.Add(-1)
+	if c.active != nil {
+		c.active.give()
+		if c.active.call != nil {
+			c.pipeline.unanswered.Add(-1)
+		}
 	}
 	c.active = nil
 	c.mu.Unlock()
@@ -162,6 +175,7 @@
 // dropQueue cancels the requests that were started early. The caller holds the lock.
 func (c *conn) dropQueue() {
 	for _, m := range c.queue {
+		m.give()
 		if m.call != nil {
 			m.call.cancel()
 			c.pipeline.unanswered.Add(-1)
--- a/internal/base/pipe/pipe.go
+++ b/internal/base/pipe/pipe.go
@@ -28,6 +28,8 @@
 	maxQueuedPerConn = 16
 	// maxEarlyBodyBytes is the size of the largest request body that is read ahead.
 	maxEarlyBodyBytes = 16 << 10
+	// messageBytes is the cost of a request that is read ahead besides its head and body.
+	messageBytes = 4 << 10
 	// maxRecordedBytes is the size up to which a response is recorded before its turn.
 	// The handler of a larger response waits.
 	maxRecordedBytes = 32 << 10
@@ -38,6 +40,7 @@
 	next       http.Handler
 	repeatable func(*http.Request) bool
 	stopping   func() bool
+	room       Room
 	// unanswered counts the requests that were started early and whose response was
 	// not written.
 	unanswered atomic.Int64
@@ -52,6 +55,16 @@
 	return func(p *Pipeline) { p.repeatable = f }
 }
 
+// Room charges n bytes that are read ahead on the connection of ctx. The returned function
+// gives them back. Without room it reports false.
+type Room func(ctx context.Context, n int64) (give func(), ok bool)
+
+// WithRoom sets what is charged for requests that are read ahead. Without room for a request,
+// the server reads it and all later ones itself.
+func WithRoom(room Room) Option {
+	return func(p *Pipeline) { p.room = room }
+}
+
 // WithStopping sets the function that reports whether the server is stopping.
 // Connections are then closed after the last response that was started.
 func WithStopping(f func() bool) Option {
@@ -63,6 +76,7 @@
 	p := &Pipeline{
 		repeatable: func(*http.Request) bool { return false },
 		stopping:   func() bool { return false },
+		room:       func(context.Context, int64) (func(), bool) { return func() {}, true },
 	}
 	for _, o := range opts {
 		o(p)
--- a/internal/base/pipe/scanner.go
+++ b/internal/base/pipe/scanner.go
@@ -22,6 +22,10 @@
 	// overlaps is set if the request may run at the same time as its neighbours.
 	overlaps bool
 	call     *earlyCall
+	// headBytes is the size of the head.
+	headBytes int
+	// give gives back what is charged for the message.
+	give func()
 }
 
 // scanner finds the requests in the bytes of a connection, up to one with a body that
@@ -32,6 +36,12 @@
 	current *message
 }
 
+// cost returns the bytes that the message takes. Its body grows by doubling, and its head is
+// held as text and as headers.
+func (m *message) cost() int64 {
+	return messageBytes + 2*int64(m.headBytes) + 2*m.missing
+}
+
 // scanResult says what next consumed.
 type scanResult struct {
 	// consumed is the number of bytes that belong to the message.
@@ -61,7 +71,7 @@
 		result.last = true
 		return result
 	}
-	result.message = &message{request: r, missing: r.ContentLength}
+	result.message = &message{request: r, missing: r.ContentLength, headBytes: len(head)}
 	result.last = r.Close || r.ContentLength > maxEarlyBodyBytes
 	if r.ContentLength > 0 {
 		s.current = result.message
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -202,7 +202,7 @@
 		link.WithControlHandler(controlWatch, n.watch.handleNotice), link.WithControlHandler(controlOrders, n.sync.transfer.handleRequest),
 		link.WithControlHandler(controlCrashes, n.crashes.handleReport))}
 	link.ShareSessions(n.pool, n.peerServer.Server)
-	pipeline := pipe.New(pipe.WithRepeatable(n.entry.MayRepeat), pipe.WithStopping(n.lifecycle.stopping.Load))
+	pipeline := pipe.New(pipe.WithRepeatable(n.entry.MayRepeat), pipe.WithStopping(n.lifecycle.stopping.Load), pipe.WithRoom(n.gate.ReadAhead))
 	n.callerServer = newServer(alice.New(pipeline.Middleware).Then(n.entry))
 	n.callerServer.Pipeline, n.callerServer.Gate = pipeline, n.gate
 	n.controlServer = newServer(p.ControlHandler(n))
--- a/internal/node/mesh/tuning.go
+++ b/internal/node/mesh/tuning.go
@@ -46,7 +46,7 @@
 	// callersMemoryShare is the share of the VM's memory that callers and other daemons may
 	// make the daemon hold. The rest is for the program, its state and what the garbage
 	// collector has not collected.
-	callersMemoryShare = 0.25
+	callersMemoryShare = 0.2
 
 	// upstreamIdleTimeout is how long an idle connection to the upstream is kept.
 	upstreamIdleTimeout = 4 * clock.Second
--- a/internal/path/charge/conn.go
+++ b/internal/path/charge/conn.go
@@ -90,6 +90,15 @@
 	}
 }
 
+// ReadAhead charges n bytes that are read ahead on the connection of ctx. It is a pipe.Room.
+func (g *Gate) ReadAhead(ctx context.Context, n int64) (give func(), ok bool) {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	if !ok {
+		return func() {}, true
+	}
+	return func() { c.account.Give(memory.Call, n) }, c.account.TryTake(memory.Call, n)
+}
+
 // OpenCall opens the account of a call on the connection of ctx, which is not ended as long
 // as one of its calls is open. The function done ends the account.
 func (g *Gate) OpenCall(ctx context.Context, end func()) (a *Account, done func()) {
