--- a/internal/path/entry/cutoff.go
+++ b/internal/path/entry/cutoff.go
@@ -4,8 +4,13 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
+// errCutOff says that the connection must not be used any more.
+var errCutOff = errors.New("the caller was cut off")
+
 // cutOff ends the part that a caller has in a call: reading its body, and later writing to
 // it. It is safe for concurrent use.
 type cutOff struct {
--- a/internal/path/entry/response.go
+++ b/internal/path/entry/response.go
@@ -95,6 +95,10 @@
 	account.Expect(len(data))
 	_, err := a.runner.respWriter.Write(data)
 	account.Attend(false)
+	if err == nil && account.Ended() {
+		// The writes of a later request on the connection would fail, too.
+		return errCutOff
+	}
 	return err
 }
 
