--- a/internal/path/charge/gate.go
+++ b/internal/path/charge/gate.go
@@ -87,6 +87,13 @@
 	return g.budget.Limit()
 }
 
+// Used returns the bytes that are held.
+func (g *Gate) Used() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Used()
+}
+
 // Usage returns what is held for a cause.
 func (g *Gate) Usage(c memory.Cause) Usage {
 	g.mu.Lock()
