charge: search for stalled accounts at most every 20 ms

Cause: each waiter searched all accounts ten times a second, which a crowd turns into processor time. One search now makes room for all that wait for the same cause.

--- a/internal/path/charge/gate.go
+++ b/internal/path/charge/gate.go
@@ -39,6 +39,9 @@
 	maxWaitingResponses = 1.0 / 16
 	// reclaimInterval is how often a waiter looks for accounts that have stalled meanwhile.
 	reclaimInterval = 100 * clock.Millisecond
+	// reclaimPause is the time between two searches, so that a crowd of waiters does not
+	// take the processor.
+	reclaimPause = 20 * clock.Millisecond
 )
 
 // Gate is the budget of a daemon. It is safe for concurrent use.
@@ -51,6 +54,8 @@
 	closers map[*memory.Account]func()
 	waiters []*waiter
 	counts  [memory.NumCauses]Counts
+	// reclaimedAt is when accounts were last searched.
+	reclaimedAt clock.Milli
 }
 
 // Counts are totals of one cause since the start.
@@ -144,10 +149,15 @@
 	return n
 }
 
-// reclaim closes accounts to make room. The caller holds the lock.
+// reclaim closes accounts to make room for n bytes and for all that wait for the cause. The
+// caller holds the lock.
 func (g *Gate) reclaim(a *memory.Account, c memory.Cause, n int64) {
 	now := g.clock.Now()
-	for _, v := range g.budget.Reclaim(now, a, c, n) {
+	if now-g.reclaimedAt < reclaimPause {
+		return
+	}
+	g.reclaimedAt = now
+	for _, v := range g.budget.Reclaim(now, a, c, n+g.waitingFor(c)) {
 		g.counts[c].Closed++
 		g.log.Info().Str("caller", v.Address).Int64("bytes", v.Held()).Float64("stalled_ms", float64(v.StalledFor(now))).
 			Str("reason", "no_progress").Str("room_for", c.String()).Msg("caller_closed")
@@ -185,7 +195,7 @@
 	defer g.mu.Unlock()
 	g.grant()
 	if slices.Contains(g.waiters, w) {
-		g.reclaim(w.account, w.cause, w.bytes)
+		g.reclaim(w.account, w.cause, 0)
 	}
 }
 
