--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -27,8 +27,9 @@
 	// ewmaWeight is the weight of one sample in the service's moving averages.
 	ewmaWeight = 0.1
 	// crossCentreCost is added for a target in another data centre, for network
-	// latency and traffic, if the call has no large body.
-	crossCentreCost = 15 * clock.Millisecond
+	// latency, traffic and attempts that are refused there, if the call has no large
+	// body.
+	crossCentreCost = 60 * clock.Millisecond
 	// crossCentreTransferCost replaces crossCentreCost for a call with a large
 	// body.
 	crossCentreTransferCost = 120 * clock.Millisecond
@@ -43,8 +44,8 @@
 	// failureEWMAWeight is the weight of one result in a target's failure rate.
 	failureEWMAWeight = 0.25
 	// failureHalfLife is the age at which the failure rate of a target without calls
-	// has half its weight. A report that the target leaves or has a lower limit is
-	// ignored from the same age on.
+	// has half its weight, and so has a reported latency above the baseline. A report that
+	// the target leaves or has a lower limit is ignored from the same age on.
 	failureHalfLife = 2 * clock.Second
 	// failureCost is the cost of a failure rate of 1, and of a target that reported
 	// to leave, in mean service times.
@@ -187,11 +188,22 @@
 	return 1 / (1 + x*x)
 }
 
-// Choose returns the target with the lowest expected cost. The target is nil if
-// none is allowed.
+// candidate is the cheapest of the targets that it was offered.
+type candidate struct {
+	target *target
+	cost   clock.Milli
+}
+
+func (c *candidate) offer(t *target, cost clock.Milli) {
+	if c.target == nil || cost < c.cost {
+		c.target, c.cost = t, cost
+	}
+}
+
+// Choose returns the target with the lowest expected cost in the caller's own data centre,
+// if it has room, or else among all. The target is nil if none is allowed.
 func (p *Picker) Choose(now clock.Milli, q pick.Query) pick.Choice {
-	var best *target
-	var bestCost clock.Milli
+	var best, own candidate
 	compared := 0
 	for _, t := range p.targets {
 		if t.Leaving || slices.Contains(q.Tried, t.ID) || q.Allow != nil && !q.Allow(&t.Target) {
@@ -199,25 +211,28 @@
 		}
 		compared++
 		c := p.expectedCost(now, &q, t) * clock.Milli(1+maxCostJitter*p.rand.Float64())
-		if best == nil || c < bestCost {
-			best, bestCost = t, c
+		best.offer(t, c)
+		if t.Centre == q.Centre {
+			own.offer(t, c)
 		}
 	}
-	if best == nil {
+	switch {
+	case best.target == nil:
 		return pick.Choice{Reason: call.ReasonNoTarget}
+	case compared == 1:
+		return pick.Choice{Target: &best.target.Target, Reason: call.ReasonOnlyTarget, Compared: compared}
+	case own.target != nil && own.target != best.target && p.hasRoom(now, own.target):
+		return pick.Choice{Target: &own.target.Target, Reason: call.ReasonLocalCool, Compared: compared}
+	default:
+		return pick.Choice{Target: &best.target.Target, Reason: call.ReasonLowestCost, Compared: compared}
 	}
-	reason := call.ReasonLowestCost
-	if compared == 1 {
-		reason = call.ReasonOnlyTarget
-	}
-	return pick.Choice{Target: &best.Target, Reason: reason, Compared: compared}
 }
 
 // expectedCost returns the expected response time plus penalties for failures and
 // for traffic between data centres.
 func (p *Picker) expectedCost(now clock.Milli, q *pick.Query, t *target) clock.Milli {
 	load, limit, slowdown := p.estimateLoad(now, t)
-	factor := slowdown * p.latencyRatio(t)
+	factor := slowdown * p.latencyRatio(now, t)
 	if load+1 > busyThreshold*limit {
 		factor *= busySlowdown
 	}
@@ -225,7 +240,7 @@
 	if excess := load + 1 - limit; excess > 0 {
 		cost += p.meanServiceTime * clock.Milli(factor*excess/limit)
 	}
-	if t.state.Leaving && now-t.state.ReceivedAt < failureHalfLife {
+	if t.isLeaving(now) {
 		cost += failureCost * p.meanServiceTime
 	}
 	cost += clock.Milli(failureCost*t.decayedFailureRate(now)) * max(minFailedTime, p.meanServiceTime)
@@ -250,12 +265,14 @@
 }
 
 // latencyRatio returns the ratio of a target's latency to the baseline, without
-// the slowdown of its VM. Ratios up to slowLatencyRatio are noise and count as 1.
-func (p *Picker) latencyRatio(t *target) float64 {
+// the slowdown of its VM. Ratios up to slowLatencyRatio are noise and count as 1. An old
+// report counts less, so that a target that was slow is tried again.
+func (p *Picker) latencyRatio(now clock.Milli, t *target) float64 {
 	if !t.hasState || p.baselineLatency == 0 {
 		return 1
 	}
-	if r := float64(t.state.Latency / p.baselineLatency); r > slowLatencyRatio {
+	excess := float64(t.state.Latency/p.baselineLatency) - 1
+	if r := 1 + excess*ageWeight(now-t.state.ReceivedAt, failureHalfLife); r > slowLatencyRatio {
 		return r
 	}
 	return 1
