--- a/internal/path/entry/quarantine.go
+++ b/internal/path/entry/quarantine.go
@@ -36,7 +36,7 @@
 		// The upstream sees the workspace, and may crash for one only.
 		caller += "/" + r.request.Workspace
 	}
-	r.request.Fingerprint = uint64(crash.NewFingerprint(r.body.buffered, caller, r.httpReq.Method, r.httpReq.Host, r.httpReq.URL.RequestURI()))
+	r.request.Fingerprint = uint64(crash.FingerprintOfBlocks(r.body.buffered.list, caller, r.httpReq.Method, r.httpReq.Host, r.httpReq.URL.RequestURI()))
 }
 
 // isHeld reports whether the request must not run now, and ends the call if so.
