mesh: read the configuration in turns right after the start

After a loss of power on all VMs, each daemon waited 0.8 s for peers that had nothing either, and refused all calls as it knew no route. A health check follows a new configuration at once, as its path is part of it. Links open without pauses between the dials, the own data centre first.

--- a/internal/node/mesh/links.go
+++ b/internal/node/mesh/links.go
@@ -49,8 +49,12 @@
 	// onConnect is called with the id of each daemon that a link was opened to.
 	onConnect func(ctx context.Context, id string)
 	// dialSlots is a semaphore of maxConcurrentDials.
-	dialSlots    chan struct{}
-	redials      map[string]*redialState
+	dialSlots chan struct{}
+	redials   map[string]*redialState
+	// waiting has the daemons to which an attempt is due, in the order of the next checks.
+	// dialEnded receives a value after the end of an attempt.
+	waiting      []string
+	dialEnded    chan struct{}
 	idleClosedAt clock.Milli
 	// newPeers receives daemons that connected and are not in the table.
 	newPeers chan string
@@ -94,6 +98,7 @@
 		dialSlots: make(chan struct{}, maxConcurrentDials),
 		redials:   make(map[string]*redialState),
 		newPeers:  make(chan string, maxConcurrentDials),
+		dialEnded: make(chan struct{}, maxConcurrentDials),
 	}
 }
 
@@ -117,21 +122,49 @@
 func (l *links) run(ctx context.Context) error {
 	t := time.NewTicker(linkCheckInterval.Duration())
 	defer t.Stop()
+	l.checkLinks(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case id := <-l.newPeers:
 			l.checkLink(ctx, id)
+		case <-l.dialEnded:
+			l.dialWaiting(ctx)
 		case <-t.C:
-			for _, r := range l.table.Records() {
-				l.checkLink(ctx, r.ID)
-			}
+			l.checkLinks(ctx)
 			l.closeIdleStreams()
 		}
 	}
 }
 
+// checkLinks checks the links to all known daemons, those of the own data centre first: they
+// are the nearest to serve calls.
+func (l *links) checkLinks(ctx context.Context) {
+	l.waiting = l.waiting[:0]
+	self, _ := l.table.Lookup(l.self)
+	records := l.table.Records()
+	for _, near := range []bool{true, false} {
+		for i := range records {
+			if (records[i].Centre == self.Centre) == near {
+				l.checkLink(ctx, records[i].ID)
+			}
+		}
+	}
+}
+
+// dialWaiting starts the attempts for which there was no dial slot, as far as there are slots
+// now. A daemon that starts with its whole fleet thus does not wait for its next check.
+func (l *links) dialWaiting(ctx context.Context) {
+	waiting := l.waiting
+	l.waiting = nil
+	for len(waiting) > 0 && len(l.dialSlots) < maxConcurrentDials {
+		l.checkLink(ctx, waiting[0])
+		waiting = waiting[1:]
+	}
+	l.waiting = append(waiting, l.waiting...)
+}
+
 // closeIdleStreams closes streams that calls left idle.
 func (l *links) closeIdleStreams() {
 	now := l.clock.Now()
@@ -173,6 +206,7 @@
 		redial.dialing = true
 		go (&dialer{links: l, id: id, result: redial.result}).run(ctx)
 	default:
+		l.waiting = append(l.waiting, id)
 	}
 }
 
@@ -209,8 +243,14 @@
 	_, err := l.pool.Connect(ctx, d.id)
 	if err == nil {
 		l.setLinked(d.id, true)
-		l.onConnect(ctx, d.id)
 	}
 	<-l.dialSlots
 	d.result <- err == nil
+	select {
+	case l.dialEnded <- struct{}{}:
+	default:
+	}
+	if err == nil {
+		l.onConnect(ctx, d.id)
+	}
 }
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -188,6 +188,8 @@
 	n.watch.sendNotice = (&noticeSender{sync: n.sync}).send
 	n.announcer.onChange = func() { go (&recordPush{sync: n.sync}).run() }
 	n.registry.Subscribe(func(*order.ActiveSet) { n.watch.ordersChanged() })
+	// The path of the health check is part of the orders.
+	n.registry.Subscribe(func(*order.ActiveSet) { n.upstream.requestCheck() })
 	n.moves.notifyPeers = func() { n.sync.syncWithAll(context.Background()) }
 	n.reporter = newStatsReporter(n)
 	n.statusWriter = &statusWriter{moves: n.moves, platform: p, store: n.store, mayRestore: n.watch.mayRestore}
--- a/internal/node/mesh/storewatch.go
+++ b/internal/node/mesh/storewatch.go
@@ -61,6 +61,10 @@
 	changed   chan struct{}
 	noticeDue chan struct{}
 
+	// firstStart is set at the first start of the system.
+	firstStart bool
+	// passedOnFirst is set once the first orders were passed on.
+	passedOnFirst  bool
 	startAt        clock.Milli
 	poll           watch.Poll
 	discovered     atomic.Bool
@@ -93,7 +97,7 @@
 		orderFollower: n.orderFollower, peerFollower: n.peerFollower, announcer: n.announcer,
 		view: newStoreView(n.self.ID, n.clock), startAt: now + delay, changed: make(chan struct{}, 1),
 		noticeDue: make(chan struct{}, 1), answers: make(watch.Answers),
-		notify: func(context.Context, []string) {},
+		notify: func(context.Context, []string) {}, firstStart: n.settings.FirstStart,
 	}
 	return s
 }
@@ -108,6 +112,8 @@
 	defer t.Stop()
 	silence := time.NewTimer(watchInterval.Duration())
 	defer silence.Stop()
+	first := time.NewTimer(s.firstReadDelay().Duration())
+	defer first.Stop()
 	for {
 		if now := s.clock.Now(); now >= s.startAt {
 			s.readIfSilent(now)
@@ -118,6 +124,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-silence.C:
+		case <-first.C:
+			s.readFirstOrders()
 		case <-s.changed:
 			s.notifyPeers(ctx)
 		case <-s.noticeDue:
@@ -254,11 +262,15 @@
 }
 
 // notifyPeers notifies peers of new orders if this daemon is a watcher or a relay: those of
-// its own data centre, and the relays of the others, which notify theirs.
+// its own data centre, and the relays of the others, which notify theirs. Another daemon passes
+// on only the first orders since its start.
 func (s *storeWatch) notifyPeers(ctx context.Context) {
 	if s.isWatching() || s.isRelay() {
+		s.passedOnFirst = true
 		s.notify(ctx, s.idsToNotify())
+		return
 	}
+	s.passOnFirstOrders(ctx)
 }
 
 func (s *storeWatch) isRelay() bool {
