queue: refuse what a cold upstream can't end in time

While upstreams are cold, each start uses up a part of their rate. Calls of callers who had come back started with too little time left and ended at their deadline: of 170 with under 0.3 s left, one was answered. A cold upstream now refuses a call at once (too_late) if calls of its route take longer than the time that is left; the entry gives up after two of them. The slack that the settings tolerate in a second is saved up for a quarter of a second, as long as a VM is slow for a moment.

--- a/internal/admin/report/clauses.go
+++ b/internal/admin/report/clauses.go
@@ -23,6 +23,7 @@
 	call.ReasonQueueFull:      "too many calls were waiting already",
 	call.ReasonCold:           "the server had just started and could not take more yet",
 	call.ReasonCrashes:        "servers had crashed while they ran the same request, so it was held back",
+	call.ReasonTooLate:        "the server had just started and would have answered after the deadline",
 	call.ReasonRateLimit:      "the server had asked for fewer requests a second than were sent to it",
 	call.ReasonBackgroundShed: "background work was put off to keep capacity for users",
 	call.ReasonTransferShare:  "uploads and downloads already held their part of the places",
--- a/internal/core/queue/coldlimiter.go
+++ b/internal/core/queue/coldlimiter.go
@@ -2,14 +2,16 @@
 
 import "gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 
-// coldBurst is the capacity of the token bucket: the number of calls that a cold
-// upstream may receive in a burst.
+// coldBurst is the number of calls that a cold upstream may receive in a burst when it
+// becomes cold, and at least later.
 const coldBurst = 2
 
 // coldLimiter is a token bucket that limits the rate of calls to a cold upstream.
 type coldLimiter struct {
 	until  clock.Milli
 	bucket tokenBucket
+	// slack is the number of calls beyond the rate that are tolerated in one second.
+	slack float64
 }
 
 // setRate limits the calls per second until an instant. A rate of zero removes the
@@ -18,7 +20,7 @@
 	if !l.isActive(now) {
 		l.bucket.fill(now, coldBurst)
 	}
-	l.until, l.bucket.rate, l.bucket.burst = until, perSecond, coldBurst
+	l.until, l.bucket.rate, l.bucket.burst = until, perSecond, l.savedCalls(perSecond)
 }
 
 func (l *coldLimiter) isActive(now clock.Milli) bool {
--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -144,6 +144,8 @@
 		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonLeaving})
 	case now >= req.Deadline:
 		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonDeadline})
+	case d.endsTooLate(now, req):
+		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonTooLate})
 	}
 	if len(d.queue) == 0 && d.canStart(now, req) {
 		return append(decisions, d.admit(now, req))
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -49,7 +49,7 @@
 	if req.SoftDeadline > 0 {
 		wait = max(wait, softDeadlineWaitFraction*(req.SoftDeadline-now))
 	}
-	return min(req.Deadline, now+wait)
+	return d.latestColdStart(now, min(req.Deadline, now+wait), req)
 }
 
 // latestLimitedStart returns the latest instant at which a call may start if it waits for the
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -58,6 +58,9 @@
 	maxHedgeRefusalRate = 0.02
 	// refusalWeight is the weight of one attempt in the refusal rate.
 	refusalWeight = 0.02
+	// maxTooLateTargets is the number of cold targets that find too little time left for a
+	// call until it is given up. The others are cold as well then, as after a loss of power.
+	maxTooLateTargets = 2
 )
 
 // Policy holds the retry budget of one service. It is not safe for
@@ -171,6 +174,8 @@
 		return call.ReasonRetriedBelow
 	case a.Result.Reason == call.ReasonCrashes:
 		return call.ReasonCrashes
+	case a.Result.Reason == call.ReasonTooLate && a.Number >= maxTooLateTargets:
+		return call.ReasonTooLate
 	case now >= a.Request.Deadline:
 		return call.ReasonDeadline
 	case a.Request.Class == call.Background && a.Result.Outcome == call.OutcomeNotRun && refusedForLoad(a.Result.Reason):
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -131,6 +131,7 @@
 	n.upstream = newUpstream(n.clock, n.log)
 	n.upstream.service = n.ownService
 	n.upstream.coldRateFactor = max(1, s.ColdOverage-coldOverageMargin)
+	n.upstream.dispatcher.SetColdSlack(s.ColdSlack)
 	n.upstream.onChange = n.announceUpstream
 	n.restoreUpstream(previous)
 	n.health = &healthChecker{
--- a/internal/node/mesh/platform.go
+++ b/internal/node/mesh/platform.go
@@ -32,6 +32,9 @@
 	// ColdOverage is the tolerated multiple of the stated call rate of a cold
 	// upstream; zero means that it is not configured.
 	ColdOverage float64
+	// ColdSlack is the number of calls beyond that rate that a cold upstream tolerates in one
+	// second; zero means that it is not configured.
+	ColdSlack float64
 	// RetryReserve is the number of retries that all daemons together may send to a
 	// service within a few seconds, beyond a fraction of its calls. Zero means that it
 	// is not limited.
