queue: give the cold rate to calls that it still serves in time

At a cold upstream, calls waited for up to a third of the time to their deadline in order of arrival, so that nearly all of them were answered late. A call now waits only as long as it can meet its soft deadline, as at a stated rate limit, and makes room for one that can. A call whose deadline is later than the end of the cold start waits for that, behind the others of its priority. Unused calls are saved for half a second, up to half of the tolerated slack, as a VM that is slow for a moment used up a quarter.

--- a/internal/core/queue/cold.go
+++ b/internal/core/queue/cold.go
@@ -8,10 +8,13 @@
 const (
 	// coldSlackShare is the share of the tolerated slack of a cold upstream that may be saved
 	// up. The rest is left for calls that arrive closer together than they were sent.
-	coldSlackShare = 0.75
+	coldSlackShare = 0.5
 	// coldSavingTime is the time for which unused calls to a cold upstream are saved up. Its
 	// VM may be slow for about that long.
-	coldSavingTime = 250 * clock.Millisecond
+	coldSavingTime = 500 * clock.Millisecond
+	// coldSpareTime is the time after the end of the cold start in which a call that waits for
+	// it gets its turn.
+	coldSpareTime = 500 * clock.Millisecond
 	// minMeasuredCalls is the number of answered calls of a route from which their mean
 	// service time rules out further ones.
 	minMeasuredCalls = 3
@@ -51,12 +54,38 @@
 	return ok && now+duration > req.Deadline
 }
 
-// latestColdStart limits the latest start of a call at a cold upstream to the one from which it
-// is expected to end by its deadline.
+// latestColdStart returns the latest start of a call at a cold upstream. The room is short, so a
+// call that would be answered after its soft deadline does not take the place of one that would
+// not: it is refused, unless its deadline lets it wait until the upstream is warm.
 func (d *Dispatcher) latestColdStart(now, latestStart clock.Milli, req admit.Request) clock.Milli {
-	if !d.coldLimit.isActive(now) {
+	switch {
+	case !d.coldLimit.isActive(now):
 		return latestStart
+	case d.outlastsCold(now, req):
+		return max(latestStart, d.coldLimit.until+coldSpareTime)
 	}
 	duration, _ := d.expectedDuration(now, req.Route)
-	return min(latestStart, req.Deadline-duration)
+	latestStart = min(latestStart, req.Deadline-duration)
+	if req.SoftDeadline > 0 {
+		serviceTime := clock.Milli(d.currentSlowdown(now)) * d.baselineServiceTime(req.Route)
+		latestStart = min(latestStart, max(now+minQueueWait, req.SoftDeadline-serviceTime))
+	}
+	return latestStart
+}
+
+// outlastsCold reports whether a call can wait until the cold upstream is warm and still be
+// answered by its deadline.
+func (d *Dispatcher) outlastsCold(now clock.Milli, req admit.Request) bool {
+	if !d.coldLimit.isActive(now) {
+		return false
+	}
+	serviceTime := d.baselineServiceTime(req.Route)
+	return d.coldLimit.until+coldSpareTime+2*serviceTime < req.Deadline
+}
+
+// coldWait returns the time until a call with the given number of calls ahead of it starts at a
+// cold upstream. Once that is warm, the slots limit the starts.
+func (d *Dispatcher) coldWait(now clock.Milli, ahead int) clock.Milli {
+	warm := d.coldLimit.until - now + clock.Milli(float64(ahead)/float64(d.maxInProgress()))*d.expectedServiceTime()
+	return min(d.coldLimit.waitTime(now, ahead), warm)
 }
