--- a/internal/core/queue/cold.go
+++ b/internal/core/queue/cold.go
@@ -1,6 +1,8 @@
 package queue
 
 import (
+	"cmp"
+
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
 )
@@ -83,6 +85,20 @@
 	return d.coldLimit.until+coldSpareTime+2*serviceTime < req.Deadline
 }
 
+// patientOrder orders calls of which at least one waits until the upstream is warm: behind the
+// others, the newest first. Room that comes sooner answers a new call in time, whereas the
+// older ones are late anyway.
+func patientOrder(a, b queuedCall) int {
+	switch {
+	case a.patient && b.patient:
+		return cmp.Compare(b.seq, a.seq)
+	case a.patient:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // coldWait returns the time until a call with the given number of calls ahead of it starts at a
 // cold upstream. Once that is warm, the slots limit the starts.
 func (d *Dispatcher) coldWait(now clock.Milli, ahead int) clock.Milli {
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -71,28 +71,20 @@
 }
 
 // queuePosition returns the index at which a call is inserted into the queue, which
-// is ordered by priority, then by patience, then by arrival.
+// is ordered by priority, then by arrival, with patient calls last.
 func (d *Dispatcher) queuePosition(queued queuedCall) int {
 	position, _ := slices.BinarySearchFunc(d.queue, queued, func(a, b queuedCall) int {
 		if a.request.Priority != b.request.Priority {
 			return a.request.Priority - b.request.Priority
 		}
-		if a.patient != b.patient {
-			return boolOrder(a.patient)
+		if a.patient || b.patient {
+			return patientOrder(a, b)
 		}
 		return int(int64(a.seq) - int64(b.seq))
 	})
 	return position
 }
 
-// boolOrder orders calls that wait patiently after others.
-func boolOrder(patient bool) int {
-	if patient {
-		return 1
-	}
-	return -1
-}
-
 // lateStartReason returns the reason to refuse a call that is not expected to start by
 // its latest start, and ReasonNone if it is.
 func (d *Dispatcher) lateStartReason(now clock.Milli, ahead int, queued queuedCall) call.Reason {
--- a/internal/node/mesh/health.go
+++ b/internal/node/mesh/health.go
@@ -174,6 +174,7 @@
 		}
 		u.dispatcher.ObserveNotice(now, notice)
 		u.logNotice(notice)
+		u.onNotice()
 		if notice.Leaving {
 			t.HandleLeaving()
 		}
--- a/internal/node/mesh/metrics.go
+++ b/internal/node/mesh/metrics.go
@@ -28,6 +28,9 @@
 }
 
 func (n *Node) recordCall(d entry.CallSummary) {
+	if d.Outcome == call.OutcomeAnswered {
+		n.startLog.reach(stepAnswered)
+	}
 	n.meter.ObserveCall(routeType(d.Request), d.Outcome.String(), d.Reason.String(), d.Latency)
 }
 
@@ -64,6 +67,7 @@
 	n.meter.AddGauge("version_answers", func() float64 { return float64(n.moves.evidence(n.settings.Service).Answers) })
 	n.meter.AddGauge("version_bad_answers", func() float64 { return float64(n.moves.evidence(n.settings.Service).Bad) })
 	n.meter.AddGauge("version_expected_bad_answers", func() float64 { return n.moves.evidence(n.settings.Service).Expected })
+	n.startLog.addGauges(n.meter)
 	n.meter.AddGauge("guard_calls_in_progress", func() float64 { return float64(n.guard.InProgress()) })
 }
 
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -45,6 +45,7 @@
 	registry        *order.Registry
 	moves           *moveTracker
 	crashes         *crashLog
+	startLog        *startLog
 	upstream        *upstream
 	guard           *guard.Guard
 	entry           *entry.Entry
@@ -72,6 +73,7 @@
 	clk := clock.NewReal()
 	assert.SetLogger(log)
 	n := &Node{settings: s, platform: p, clock: clk, log: log, table: peers.New(s.Listen.Peer), meter: meter.New()}
+	n.startLog = newStartLog(clk, log)
 	n.store = &meteredStore{store: p.Store(), meter: n.meter}
 	records, end := n.readStoredPeers()
 	previous := records.lookup(s.Listen.Peer)
@@ -133,6 +135,7 @@
 	n.upstream.coldRateFactor = max(1, s.ColdOverage-coldOverageMargin)
 	n.upstream.dispatcher.SetColdSlack(s.ColdSlack)
 	n.upstream.onChange = n.announceUpstream
+	n.upstream.onNotice = func() { n.startLog.reach(stepConfirmed) }
 	n.restoreUpstream(previous)
 	n.health = &healthChecker{
 		clock: n.clock, log: n.log, platform: p, addr: s.UpstreamAddr, upstream: n.upstream, service: n.ownService,
@@ -189,8 +192,7 @@
 	n.watch.sendNotice = (&noticeSender{sync: n.sync}).send
 	n.announcer.onChange = func() { go (&recordPush{sync: n.sync}).run() }
 	n.registry.Subscribe(func(*order.ActiveSet) { n.watch.ordersChanged() })
-	// The path of the health check is part of the orders.
-	n.registry.Subscribe(func(*order.ActiveSet) { n.upstream.requestCheck() })
+	n.registry.Subscribe(n.checkUpstream)
 	n.moves.notifyPeers = func() { n.sync.syncWithAll(context.Background()) }
 	n.reporter = newStatsReporter(n)
 	n.statusWriter = &statusWriter{moves: n.moves, platform: p, store: n.store, mayRestore: n.watch.mayRestore}
@@ -211,6 +213,14 @@
 	n.addGauges()
 }
 
+// checkUpstream requests a health check after a change of the orders, which have its path.
+func (n *Node) checkUpstream(active *order.ActiveSet) {
+	if active.Table != nil {
+		n.startLog.reach(stepConfigured)
+	}
+	n.upstream.requestCheck()
+}
+
 // logNewPeers logs records that were added to the table or updated there.
 func (n *Node) logNewPeers(records []peers.Record) {
 	for i := range records {
--- a/internal/node/mesh/upstream.go
+++ b/internal/node/mesh/upstream.go
@@ -51,6 +51,8 @@
 	checkRequested chan struct{}
 	// onChange is called without the lock after a change that peers need.
 	onChange func()
+	// onNotice is called with the lock after a notice of the current instance.
+	onNotice func()
 }
 
 func newUpstream(clk clock.Clock, log zerolog.Logger) *upstream {
@@ -58,7 +60,7 @@
 		clock: clk, log: log,
 		service:        func() route.Service { return route.Service{} },
 		coldRateFactor: 1,
-		tracker:        health.New(), dispatcher: queue.New(initialSlots), onChange: func() {},
+		tracker:        health.New(), dispatcher: queue.New(initialSlots), onChange: func() {}, onNotice: func() {},
 		checkRequested: make(chan struct{}, 1),
 	}
 }
