queue: judge too late without the slowness of a VM

The time is now that without the slowdown; a slow VM refuses the call as slow, and another target is tried. Not measured yet.

--- a/internal/core/queue/cold.go
+++ b/internal/core/queue/cold.go
@@ -34,14 +34,15 @@
 	return max(coldBurst, min(coldSlackShare*l.slack, saved))
 }
 
-// expectedDuration returns how long a call that starts now runs, and false if too few calls of
-// its route have ended to tell.
-func (d *Dispatcher) expectedDuration(now clock.Milli, route string) (clock.Milli, bool) {
+// shortestDuration returns how long a call runs while the VM is not slow, zero if too few calls
+// of its route have ended to tell. A slow VM refuses the call by itself, and another one may not
+// be slow.
+func (d *Dispatcher) shortestDuration(route string) clock.Milli {
 	stats := d.routeStats[route]
 	if stats == nil || stats.Calls-stats.Failed < minMeasuredCalls {
-		return 0, false
+		return 0
 	}
-	return clock.Milli(d.currentSlowdown(now)) * d.serviceTimes[route], true
+	return d.serviceTimes[route]
 }
 
 // endsTooLate reports whether a call that starts now is not expected to end by its deadline.
@@ -49,11 +50,7 @@
 // part of the cold rate that a call with more time left needs. A warm upstream starts such a
 // call, as the expected time is a mean and its room may be free.
 func (d *Dispatcher) endsTooLate(now clock.Milli, req admit.Request) bool {
-	if !d.coldLimit.isActive(now) {
-		return false
-	}
-	duration, ok := d.expectedDuration(now, req.Route)
-	return ok && now+duration > req.Deadline
+	return d.coldLimit.isActive(now) && now+d.shortestDuration(req.Route) > req.Deadline
 }
 
 // latestColdStart returns the latest start of a call at a cold upstream. The room is short, so a
@@ -66,11 +63,9 @@
 	case d.outlastsCold(now, req):
 		return max(latestStart, d.coldLimit.until+coldSpareTime)
 	}
-	duration, _ := d.expectedDuration(now, req.Route)
-	latestStart = min(latestStart, req.Deadline-duration)
+	latestStart = min(latestStart, req.Deadline-d.shortestDuration(req.Route))
 	if req.SoftDeadline > 0 {
-		serviceTime := clock.Milli(d.currentSlowdown(now)) * d.baselineServiceTime(req.Route)
-		latestStart = min(latestStart, max(now+minQueueWait, req.SoftDeadline-serviceTime))
+		latestStart = min(latestStart, max(now+minQueueWait, req.SoftDeadline-d.baselineServiceTime(req.Route)))
 	}
 	return latestStart
 }
