--- a/internal/core/call/enums.go
+++ b/internal/core/call/enums.go
@@ -99,5 +99,6 @@
 	ReasonBodyTooLarge                 // body_too_large
 	ReasonRateLimit                    // rate_limit
 	ReasonCrashes                      // crashes
+	ReasonUnknownKey                   // unknown_key
 	ReasonTooLate                      // too_late
 )
