queue: count the slowdown of a cold upstream's VM up to slow

Service times are means without slowdown, and even VMs that don't count as slow have one, so calls with 0.2 to 0.4 s left still started in vain. To be measured.

--- a/internal/core/queue/cold.go
+++ b/internal/core/queue/cold.go
@@ -37,15 +37,16 @@
 	return max(coldBurst, min(coldSlackShare*l.slack, saved))
 }
 
-// neededTime returns the time that most calls of a route need while the VM is not slow, zero if
-// too few of them have ended to tell. A slow VM refuses the call by itself, and another one may
-// not be slow.
-func (d *Dispatcher) neededTime(route string) clock.Milli {
+// neededTime returns the time that most calls of a route need, zero if too few of them have
+// ended to tell. It is that of a VM that is not slow: a slow one refuses the call by itself, and
+// another target may not be slow.
+func (d *Dispatcher) neededTime(now clock.Milli, route string) clock.Milli {
 	stats := d.routeStats[route]
 	if stats == nil || stats.Calls-stats.Failed < minMeasuredCalls {
 		return 0
 	}
-	return neededTimeFactor * d.serviceTimes[route]
+	slowdown := min(slowVMThreshold, d.currentSlowdown(now))
+	return neededTimeFactor * clock.Milli(slowdown) * d.serviceTimes[route]
 }
 
 // endsTooLate reports whether a call that starts now is not expected to end by its deadline.
@@ -53,7 +54,7 @@
 // part of the cold rate that a call with more time left needs. A warm upstream starts such a
 // call, as the expected time is a mean and its room may be free.
 func (d *Dispatcher) endsTooLate(now clock.Milli, req admit.Request) bool {
-	return d.coldLimit.isActive(now) && now+d.neededTime(req.Route) > req.Deadline
+	return d.coldLimit.isActive(now) && now+d.neededTime(now, req.Route) > req.Deadline
 }
 
 // latestColdStart returns the latest start of a call at a cold upstream. The room is short, so a
@@ -66,7 +67,7 @@
 	case d.outlastsCold(now, req):
 		return max(latestStart, d.coldLimit.until+coldSpareTime)
 	}
-	latestStart = min(latestStart, req.Deadline-d.neededTime(req.Route))
+	latestStart = min(latestStart, req.Deadline-d.neededTime(now, req.Route))
 	if req.SoftDeadline > 0 {
 		latestStart = min(latestStart, max(now+minQueueWait, req.SoftDeadline-d.baselineServiceTime(req.Route)))
 	}
