--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -213,11 +213,13 @@
 	n.addGauges()
 }
 
-// checkUpstream requests a health check after a change of the orders, which have its path.
+// checkUpstream applies the cold rate after a change of the orders and requests a health check,
+// whose path is part of them.
 func (n *Node) checkUpstream(active *order.ActiveSet) {
 	if active.Table != nil {
 		n.startLog.reach(stepConfigured)
 	}
+	n.upstream.update(func(clock.Milli, *health.Tracker) {})
 	n.upstream.requestCheck()
 }
 
