queue: leave room of the cold rate for calls in time

At a cold upstream, callers who came back late took the tokens that new calls needed to be in time. A call that would be answered after its soft deadline starts only if one more may start.

--- a/internal/core/queue/cold.go
+++ b/internal/core/queue/cold.go
@@ -20,6 +20,8 @@
 	// minMeasuredCalls is the number of answered calls of a route from which their mean
 	// service time rules out further ones.
 	minMeasuredCalls = 3
+	// callsLeftInTime is the number of calls in time for which a late one leaves room.
+	callsLeftInTime = 1
 	// neededTimeFactor is the ratio of the time within which most calls of a route end to
 	// their mean service time.
 	neededTimeFactor = 1.3
@@ -74,6 +76,19 @@
 	return latestStart
 }
 
+// hasColdRoom reports whether the cold rate lets a call start. One that would be answered after
+// its soft deadline leaves a part of the room for calls that are in time.
+func (d *Dispatcher) hasColdRoom(now clock.Milli, req admit.Request) bool {
+	if !d.coldLimit.isActive(now) {
+		return true
+	}
+	needed := 1.0
+	if req.SoftDeadline > 0 && now+d.neededTime(now, req.Route) > req.SoftDeadline {
+		needed += callsLeftInTime
+	}
+	return d.coldLimit.bucket.availableTokens(now) >= needed
+}
+
 // outlastsCold reports whether a call can wait until the cold upstream is warm and still be
 // answered by its deadline.
 func (d *Dispatcher) outlastsCold(now clock.Milli, req admit.Request) bool {
--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -153,7 +153,7 @@
 		return append(decisions, d.admit(now, req))
 	}
 	if !req.MayQueue {
-		reason := d.refusalReason(now)
+		reason := d.refusalReason(now, req)
 		return append(decisions, admit.Decision{ID: req.ID, Reason: reason, RetryIn: d.rateLimitWait(now, reason)})
 	}
 	d.seq++
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -10,9 +10,9 @@
 
 // refusalReason returns why a call that can't start immediately is refused if it has
 // other targets left.
-func (d *Dispatcher) refusalReason(now clock.Milli) call.Reason {
+func (d *Dispatcher) refusalReason(now clock.Milli, req admit.Request) call.Reason {
 	switch {
-	case d.coldLimit.isActive(now) && !d.coldLimit.hasToken(now):
+	case !d.hasColdRoom(now, req):
 		return call.ReasonCold
 	case !d.statedLimit.hasToken(now):
 		return call.ReasonRateLimit
@@ -142,7 +142,7 @@
 // canStart reports whether a call may start now. On a slow VM, only a short call that
 // has no other target may.
 func (d *Dispatcher) canStart(now clock.Milli, req admit.Request) bool {
-	if len(d.inProgress) >= d.maxInProgress() || !d.hasTokens(now) {
+	if len(d.inProgress) >= d.maxInProgress() || !d.statedLimit.hasToken(now) || !d.hasColdRoom(now, req) {
 		return false
 	}
 	if !d.isVMSlow(now) {
