queue: calls in time pass late ones at a cold upstream

The room that late calls leave was of no use while one of them waited: a new call was refused because the queue was not empty. A call in time now passes late ones that are not more urgent.

--- a/internal/core/queue/cold.go
+++ b/internal/core/queue/cold.go
@@ -24,7 +24,7 @@
 	callsLeftInTime = 1
 	// neededTimeFactor is the ratio of the time within which most calls of a route end to
 	// their mean service time.
-	neededTimeFactor = 1.3
+	neededTimeFactor = 1.2
 )
 
 // SetColdSlack sets the number of calls beyond the cold rate that are tolerated in one second.
@@ -51,6 +51,17 @@
 	return neededTimeFactor * clock.Milli(slowdown) * d.serviceTimes[route]
 }
 
+// isLate reports whether a call that starts now is answered after its soft deadline.
+func (d *Dispatcher) isLate(now clock.Milli, req admit.Request) bool {
+	return req.SoftDeadline > 0 && now+d.neededTime(now, req.Route) > req.SoftDeadline
+}
+
+// passesQueue reports whether a call in time may start before the queued ones: the room that is
+// left for calls in time must not wait for late ones.
+func (d *Dispatcher) passesQueue(now clock.Milli, req admit.Request) bool {
+	return d.coldLimit.isActive(now) && req.Priority <= d.queue[0].request.Priority && !d.isLate(now, req)
+}
+
 // endsTooLate reports whether a call that starts now is not expected to end by its deadline.
 // It answers the load of callers who repeat while the upstreams are cold: each start uses up a
 // part of the cold rate that a call with more time left needs. A warm upstream starts such a
@@ -83,7 +94,7 @@
 		return true
 	}
 	needed := 1.0
-	if req.SoftDeadline > 0 && now+d.neededTime(now, req.Route) > req.SoftDeadline {
+	if d.isLate(now, req) {
 		needed += callsLeftInTime
 	}
 	return d.coldLimit.bucket.availableTokens(now) >= needed
--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -149,7 +149,7 @@
 	case d.endsTooLate(now, req):
 		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonTooLate})
 	}
-	if len(d.queue) == 0 && d.canStart(now, req) {
+	if (len(d.queue) == 0 || d.passesQueue(now, req)) && d.canStart(now, req) {
 		return append(decisions, d.admit(now, req))
 	}
 	if !req.MayQueue {
