queue: let late calls wait behind those in time

Calls that could no longer be answered by their soft deadline were refused after 30 ms at a cold upstream.

--- a/internal/core/queue/cold.go
+++ b/internal/core/queue/cold.go
@@ -70,9 +70,8 @@
 	return d.coldLimit.isActive(now) && now+d.neededTime(now, req.Route) > req.Deadline
 }
 
-// latestColdStart returns the latest start of a call at a cold upstream. The room is short, so a
-// call that would be answered after its soft deadline does not take the place of one that would
-// not: it is refused, unless its deadline lets it wait until the upstream is warm.
+// latestColdStart returns the latest start of a call at a cold upstream. One whose deadline lets
+// it wait until the upstream is warm does so.
 func (d *Dispatcher) latestColdStart(now, latestStart clock.Milli, req admit.Request) clock.Milli {
 	switch {
 	case !d.coldLimit.isActive(now):
@@ -80,11 +79,7 @@
 	case d.outlastsCold(now, req):
 		return max(latestStart, d.coldLimit.until+coldSpareTime)
 	}
-	latestStart = min(latestStart, req.Deadline-d.neededTime(now, req.Route))
-	if req.SoftDeadline > 0 {
-		latestStart = min(latestStart, max(now+minQueueWait, req.SoftDeadline-d.baselineServiceTime(req.Route)))
-	}
-	return latestStart
+	return min(latestStart, req.Deadline-d.neededTime(now, req.Route))
 }
 
 // hasColdRoom reports whether the cold rate lets a call start. One that would be answered after
@@ -110,18 +105,38 @@
 	return d.coldLimit.until+coldSpareTime+2*serviceTime < req.Deadline
 }
 
-// patientOrder orders calls of which at least one waits until the upstream is warm: behind the
-// others, the newest first. Room that comes sooner answers a new call in time, whereas the
-// older ones are late anyway.
-func patientOrder(a, b queuedCall) int {
+// coldTurn is the turn of a call among those of its priority that wait at a cold upstream.
+type coldTurn int
+
+const (
+	// turnInTime is that of calls that can be answered by their soft deadline, and of all
+	// calls at a warm upstream.
+	turnInTime coldTurn = iota
+	turnLate
+	// turnPatient is that of calls that can wait until the upstream is warm. The newest is
+	// first, as the older ones are late anyway.
+	turnPatient
+)
+
+func (d *Dispatcher) coldTurn(now clock.Milli, req admit.Request) coldTurn {
 	switch {
-	case a.patient && b.patient:
-		return cmp.Compare(b.seq, a.seq)
-	case a.patient:
-		return 1
+	case !d.coldLimit.isActive(now):
+		return turnInTime
+	case d.outlastsCold(now, req):
+		return turnPatient
+	case d.isLate(now, req):
+		return turnLate
 	default:
-		return -1
+		return turnInTime
+	}
+}
+
+// compareTurns orders queued calls of the same priority.
+func compareTurns(a, b queuedCall) int {
+	if a.turn == turnPatient && b.turn == turnPatient {
+		return cmp.Compare(b.seq, a.seq)
 	}
+	return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.seq, b.seq))
 }
 
 // coldWait returns the time until a call with the given number of calls ahead of it starts at a
--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -63,8 +63,7 @@
 	latestStart clock.Milli
 	// latestLimitedStart replaces latestStart while the stated rate limit delays the call.
 	latestLimitedStart clock.Milli
-	// patient is set if the call can wait until the cold upstream is warm.
-	patient bool
+	turn               coldTurn
 }
 
 // Dispatcher holds the queued and running calls of one upstream. It is not safe for
@@ -158,7 +157,7 @@
 	}
 	d.seq++
 	queued := queuedCall{request: req, seq: d.seq, latestStart: d.latestStart(now, req)}
-	queued.patient = d.outlastsCold(now, req)
+	queued.turn = d.coldTurn(now, req)
 	queued.latestLimitedStart = d.latestLimitedStart(now, queued.latestStart, req)
 	position := d.queuePosition(queued)
 	if reason := d.lateStartReason(now, position, queued); reason != call.ReasonNone {
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -71,16 +71,13 @@
 }
 
 // queuePosition returns the index at which a call is inserted into the queue, which
-// is ordered by priority, then by arrival, with patient calls last.
+// is ordered by priority, then by turn, which is the order of arrival while the upstream is warm.
 func (d *Dispatcher) queuePosition(queued queuedCall) int {
 	position, _ := slices.BinarySearchFunc(d.queue, queued, func(a, b queuedCall) int {
 		if a.request.Priority != b.request.Priority {
 			return a.request.Priority - b.request.Priority
 		}
-		if a.patient || b.patient {
-			return patientOrder(a, b)
-		}
-		return int(int64(a.seq) - int64(b.seq))
+		return compareTurns(a, b)
 	})
 	return position
 }
