--- a/internal/core/queue/cold.go
+++ b/internal/core/queue/cold.go
@@ -105,7 +105,8 @@
 	return d.coldLimit.until+coldSpareTime+2*serviceTime < req.Deadline
 }
 
-// coldTurn is the turn of a call among those of its priority that wait at a cold upstream.
+// coldTurn is the turn of a call among those of its priority that wait at a cold upstream. A
+// lower one comes first.
 type coldTurn int
 
 const (
@@ -118,6 +119,7 @@
 	turnPatient
 )
 
+// coldTurn returns the turn of a call that arrives now.
 func (d *Dispatcher) coldTurn(now clock.Milli, req admit.Request) coldTurn {
 	switch {
 	case !d.coldLimit.isActive(now):
--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -63,7 +63,8 @@
 	latestStart clock.Milli
 	// latestLimitedStart replaces latestStart while the stated rate limit delays the call.
 	latestLimitedStart clock.Milli
-	turn               coldTurn
+	// turn orders calls of the same priority.
+	turn coldTurn
 }
 
 // Dispatcher holds the queued and running calls of one upstream. It is not safe for
--- a/internal/node/mesh/storewatch.go
+++ b/internal/node/mesh/storewatch.go
@@ -155,35 +155,6 @@
 	}
 }
 
-// discover reads the records of the other daemons after the own record is stored, unless
-// others have opened links meanwhile: one that has read the records connects to all. Of two
-// daemons that start at the same time, the later one sees the earlier one.
-func (s *storeWatch) discover() {
-	now := s.clock.Now()
-	if s.discovered.Load() || !s.announcer.isStored() {
-		return
-	}
-	if s.nextDiscoverAt == 0 {
-		// At different times, so that a few read for all.
-		s.nextDiscoverAt = now + clock.Milli(rand.Float64())*maxDiscoverDelay
-	}
-	if len(s.table.LinkedIDs()) >= discoveredLinks {
-		s.discovered.Store(true)
-		return
-	}
-	if now >= s.nextDiscoverAt {
-		s.nextDiscoverAt = now + discoverRetryDelay
-		s.peerFollower.Poll()
-	}
-}
-
-// peersRead records a successful read of the other daemons' records.
-func (s *storeWatch) peersRead() {
-	if s.announcer.isStored() {
-		s.discovered.Store(true)
-	}
-}
-
 // update selects the watchers and makes the followers follow or idle.
 func (s *storeWatch) update(ctx context.Context) {
 	now := s.clock.Now()
