--- a/internal/core/queue/cold.go
+++ b/internal/core/queue/cold.go
@@ -70,8 +70,9 @@
 	return d.coldLimit.isActive(now) && now+d.neededTime(now, req.Route) > req.Deadline
 }
 
-// latestColdStart returns the latest start of a call at a cold upstream. One whose deadline lets
-// it wait until the upstream is warm does so.
+// latestColdStart returns the latest start of a call at a cold upstream. The room is short, so a
+// call that would be answered after its soft deadline does not take the place of one that would
+// not: it is refused, unless its deadline lets it wait until the upstream is warm.
 func (d *Dispatcher) latestColdStart(now, latestStart clock.Milli, req admit.Request) clock.Milli {
 	switch {
 	case !d.coldLimit.isActive(now):
@@ -79,7 +80,11 @@
 	case d.outlastsCold(now, req):
 		return max(latestStart, d.coldLimit.until+coldSpareTime)
 	}
-	return min(latestStart, req.Deadline-d.neededTime(now, req.Route))
+	latestStart = min(latestStart, req.Deadline-d.neededTime(now, req.Route))
+	if req.SoftDeadline > 0 {
+		latestStart = min(latestStart, max(now+minQueueWait, req.SoftDeadline-d.baselineServiceTime(req.Route)))
+	}
+	return latestStart
 }
 
 // hasColdRoom reports whether the cold rate lets a call start. One that would be answered after
