mesh: count only the reply of another daemon as that of a peer

TestDrainingUpstreamAfterRestore failed (5 of 5 runs) since the configuration comes right after the start: a daemon took its reply to itself for the one of a peer, and admitted calls to an upstream that was leaving before a peer had said so. That was so before as well, but the missing configuration hid it. Only another daemon counts now, and a daemon opens its links to three daemons with lower ids without the delay, so that one replies soon.

--- a/internal/node/mesh/links.go
+++ b/internal/node/mesh/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,6 +27,9 @@
 	// passiveDialDelay is how long a daemon leaves it to one with a lower id to open the
 	// link between them.
 	passiveDialDelay = 500 * clock.Millisecond
+	// eagerDials is the number of daemons with a lower id to which a daemon opens a link without
+	// that delay right after its start: it admits no call before one has replied.
+	eagerDials = 3
 	// streamIdleTimeout is how long a stream is kept for further calls. A daemon calls
 	// most of the others seldom.
 	streamIdleTimeout = 2 * clock.Second
@@ -53,8 +57,10 @@
 	redials   map[string]*redialState
 	// waiting has the daemons to which an attempt is due, in the order of the next checks.
 	// dialEnded receives a value after the end of an attempt.
-	waiting      []string
-	dialEnded    chan struct{}
+	waiting   []string
+	dialEnded chan struct{}
+	// eager has the daemons for which passiveDialDelay does not apply to the first attempt.
+	eager        []string
 	idleClosedAt clock.Milli
 	// newPeers receives daemons that connected and are not in the table.
 	newPeers chan string
@@ -122,7 +128,9 @@
 func (l *links) run(ctx context.Context) error {
 	t := time.NewTicker(linkCheckInterval.Duration())
 	defer t.Stop()
+	l.eager = l.selectEager()
 	l.checkLinks(ctx)
+	l.eager = nil
 	for {
 		select {
 		case <-ctx.Done():
@@ -138,6 +146,24 @@
 	}
 }
 
+// selectEager returns the daemons with the next lower ids, those of the own data centre first.
+// They differ between daemons that start at the same time.
+func (l *links) selectEager() []string {
+	self, _ := l.table.Lookup(l.self)
+	var near, far []string
+	for _, r := range slices.Backward(l.table.Records()) {
+		switch {
+		case r.ID >= l.self:
+		case r.Centre == self.Centre:
+			near = append(near, r.ID)
+		default:
+			far = append(far, r.ID)
+		}
+	}
+	ids := append(near, far...)
+	return ids[:min(eagerDials, len(ids))]
+}
+
 // checkLinks checks the links to all known daemons, those of the own data centre first: they
 // are the nearest to serve calls.
 func (l *links) checkLinks(ctx context.Context) {
@@ -198,7 +224,8 @@
 	if up {
 		redial.downSince = now
 	}
-	if up || redial.dialing || now < redial.nextDialAt || id < l.self && now-redial.downSince < passiveDialDelay {
+	passive := id < l.self && now-redial.downSince < passiveDialDelay && !slices.Contains(l.eager, id)
+	if up || redial.dialing || now < redial.nextDialAt || passive {
 		return
 	}
 	select {
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -51,7 +51,8 @@
 	crashes   *crashLog
 	view      *storeView
 	ownRecord func() peers.Record
-	// onReply is called after the reply of a peer was applied.
+	// onReply is called after the reply of a peer was applied, not after one of this daemon
+	// to itself.
 	onReply func()
 	// onPredecessor receives the record of an earlier daemon at the own address, as a peer
 	// last had it.
@@ -157,7 +158,9 @@
 	}
 	s.view.observe(id, reply.GetStore())
 	s.applyReply(id, reply)
-	s.onReply()
+	if id != self.ID {
+		s.onReply()
+	}
 	return reply.GetPeersDiffer()
 }
 
