--- a/internal/node/mesh/links.go
+++ b/internal/node/mesh/links.go
@@ -160,8 +160,8 @@
 			far = append(far, r.ID)
 		}
 	}
-	ids := append(near, far...)
-	return ids[:min(eagerDials, len(ids))]
+	near = append(near, far...)
+	return near[:min(eagerDials, len(near))]
 }
 
 // checkLinks checks the links to all known daemons, those of the own data centre first: they
