--- a/internal/core/call/enums.go
+++ b/internal/core/call/enums.go
@@ -101,4 +101,5 @@
 	ReasonCrashes                      // crashes
 	ReasonUnknownKey                   // unknown_key
 	ReasonMemory                       // memory
+	ReasonTooLate                      // too_late
 )
--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -63,6 +63,8 @@
 	latestStart clock.Milli
 	// latestLimitedStart replaces latestStart while the stated rate limit delays the call.
 	latestLimitedStart clock.Milli
+	// turn orders calls of the same priority.
+	turn coldTurn
 }
 
 // Dispatcher holds the queued and running calls of one upstream. It is not safe for
@@ -144,16 +146,19 @@
 		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonLeaving})
 	case now >= req.Deadline:
 		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonDeadline})
+	case d.endsTooLate(now, req):
+		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonTooLate})
 	}
-	if len(d.queue) == 0 && d.canStart(now, req) {
+	if (len(d.queue) == 0 || d.passesQueue(now, req)) && d.canStart(now, req) {
 		return append(decisions, d.admit(now, req))
 	}
 	if !req.MayQueue {
-		reason := d.refusalReason(now)
+		reason := d.refusalReason(now, req)
 		return append(decisions, admit.Decision{ID: req.ID, Reason: reason, RetryIn: d.rateLimitWait(now, reason)})
 	}
 	d.seq++
 	queued := queuedCall{request: req, seq: d.seq, latestStart: d.latestStart(now, req)}
+	queued.turn = d.coldTurn(now, req)
 	queued.latestLimitedStart = d.latestLimitedStart(now, queued.latestStart, req)
 	position := d.queuePosition(queued)
 	if reason := d.lateStartReason(now, position, queued); reason != call.ReasonNone {
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -10,9 +10,9 @@
 
 // refusalReason returns why a call that can't start immediately is refused if it has
 // other targets left.
-func (d *Dispatcher) refusalReason(now clock.Milli) call.Reason {
+func (d *Dispatcher) refusalReason(now clock.Milli, req admit.Request) call.Reason {
 	switch {
-	case d.coldLimit.isActive(now) && !d.coldLimit.hasToken(now):
+	case !d.hasColdRoom(now, req):
 		return call.ReasonCold
 	case !d.statedLimit.hasToken(now):
 		return call.ReasonRateLimit
@@ -49,7 +49,7 @@
 	if req.SoftDeadline > 0 {
 		wait = max(wait, softDeadlineWaitFraction*(req.SoftDeadline-now))
 	}
-	return min(req.Deadline, now+wait)
+	return d.latestColdStart(now, min(req.Deadline, now+wait), req)
 }
 
 // latestLimitedStart returns the latest instant at which a call may start if it waits for the
@@ -71,13 +71,13 @@
 }
 
 // queuePosition returns the index at which a call is inserted into the queue, which
-// is ordered by priority, then by arrival.
+// is ordered by priority, then by turn, which is the order of arrival while the upstream is warm.
 func (d *Dispatcher) queuePosition(queued queuedCall) int {
 	position, _ := slices.BinarySearchFunc(d.queue, queued, func(a, b queuedCall) int {
 		if a.request.Priority != b.request.Priority {
 			return a.request.Priority - b.request.Priority
 		}
-		return int(int64(a.seq) - int64(b.seq))
+		return compareTurns(a, b)
 	})
 	return position
 }
@@ -86,7 +86,7 @@
 // its latest start, and ReasonNone if it is.
 func (d *Dispatcher) lateStartReason(now clock.Milli, ahead int, queued queuedCall) call.Reason {
 	if d.coldLimit.isActive(now) {
-		if now+d.coldLimit.waitTime(now, ahead) > queued.latestStart {
+		if now+d.coldWait(now, ahead) > queued.latestStart {
 			return call.ReasonCold
 		}
 		return call.ReasonNone
@@ -139,7 +139,7 @@
 // canStart reports whether a call may start now. On a slow VM, only a short call that
 // has no other target may.
 func (d *Dispatcher) canStart(now clock.Milli, req admit.Request) bool {
-	if len(d.inProgress) >= d.maxInProgress() || !d.hasTokens(now) {
+	if len(d.inProgress) >= d.maxInProgress() || !d.statedLimit.hasToken(now) || !d.hasColdRoom(now, req) {
 		return false
 	}
 	if !d.isVMSlow(now) {
--- a/internal/node/mesh/links.go
+++ b/internal/node/mesh/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,6 +27,9 @@
 	// passiveDialDelay is how long a daemon leaves it to one with a lower id to open the
 	// link between them.
 	passiveDialDelay = 500 * clock.Millisecond
+	// eagerDials is the number of daemons with a lower id to which a daemon opens a link without
+	// that delay right after its start: it admits no call before one has replied.
+	eagerDials = 3
 	// streamIdleTimeout is how long a stream is kept for further calls. A daemon calls
 	// most of the others seldom.
 	streamIdleTimeout = 2 * clock.Second
@@ -49,8 +53,14 @@
 	// onConnect is called with the id of each daemon that a link was opened to.
 	onConnect func(ctx context.Context, id string)
 	// dialSlots is a semaphore of maxConcurrentDials.
-	dialSlots    chan struct{}
-	redials      map[string]*redialState
+	dialSlots chan struct{}
+	redials   map[string]*redialState
+	// waiting has the daemons to which an attempt is due, in the order of the next checks.
+	// dialEnded receives a value after the end of an attempt.
+	waiting   []string
+	dialEnded chan struct{}
+	// eager has the daemons for which passiveDialDelay does not apply to the first attempt.
+	eager        []string
 	idleClosedAt clock.Milli
 	// newPeers receives daemons that connected and are not in the table.
 	newPeers chan string
@@ -94,6 +104,7 @@
 		dialSlots: make(chan struct{}, maxConcurrentDials),
 		redials:   make(map[string]*redialState),
 		newPeers:  make(chan string, maxConcurrentDials),
+		dialEnded: make(chan struct{}, maxConcurrentDials),
 	}
 }
 
@@ -117,21 +128,69 @@
 func (l *links) run(ctx context.Context) error {
 	t := time.NewTicker(linkCheckInterval.Duration())
 	defer t.Stop()
+	l.eager = l.selectEager()
+	l.checkLinks(ctx)
+	l.eager = nil
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case id := <-l.newPeers:
 			l.checkLink(ctx, id)
+		case <-l.dialEnded:
+			l.dialWaiting(ctx)
 		case <-t.C:
-			for _, r := range l.table.Records() {
-				l.checkLink(ctx, r.ID)
-			}
+			l.checkLinks(ctx)
 			l.closeIdleStreams()
 		}
 	}
 }
 
+// selectEager returns the daemons with the next lower ids, those of the own data centre first.
+// They differ between daemons that start at the same time.
+func (l *links) selectEager() []string {
+	self, _ := l.table.Lookup(l.self)
+	var near, far []string
+	for _, r := range slices.Backward(l.table.Records()) {
+		switch {
+		case r.ID >= l.self:
+		case r.Centre == self.Centre:
+			near = append(near, r.ID)
+		default:
+			far = append(far, r.ID)
+		}
+	}
+	near = append(near, far...)
+	return near[:min(eagerDials, len(near))]
+}
+
+// checkLinks checks the links to all known daemons, those of the own data centre first: they
+// are the nearest to serve calls.
+func (l *links) checkLinks(ctx context.Context) {
+	l.waiting = l.waiting[:0]
+	self, _ := l.table.Lookup(l.self)
+	records := l.table.Records()
+	for _, near := range []bool{true, false} {
+		for i := range records {
+			if (records[i].Centre == self.Centre) == near {
+				l.checkLink(ctx, records[i].ID)
+			}
+		}
+	}
+}
+
+// dialWaiting starts the attempts for which there was no dial slot, as far as there are slots
+// now. A daemon that starts with its whole fleet thus does not wait for its next check.
+func (l *links) dialWaiting(ctx context.Context) {
+	waiting := l.waiting
+	l.waiting = nil
+	for len(waiting) > 0 && len(l.dialSlots) < maxConcurrentDials {
+		l.checkLink(ctx, waiting[0])
+		waiting = waiting[1:]
+	}
+	l.waiting = append(waiting, l.waiting...)
+}
+
 // closeIdleStreams closes streams that calls left idle.
 func (l *links) closeIdleStreams() {
 	now := l.clock.Now()
@@ -165,7 +224,8 @@
 	if up {
 		redial.downSince = now
 	}
-	if up || redial.dialing || now < redial.nextDialAt || id < l.self && now-redial.downSince < passiveDialDelay {
+	passive := id < l.self && now-redial.downSince < passiveDialDelay && !slices.Contains(l.eager, id)
+	if up || redial.dialing || now < redial.nextDialAt || passive {
 		return
 	}
 	select {
@@ -173,6 +233,7 @@
 		redial.dialing = true
 		go (&dialer{links: l, id: id, result: redial.result}).run(ctx)
 	default:
+		l.waiting = append(l.waiting, id)
 	}
 }
 
@@ -209,8 +270,14 @@
 	_, err := l.pool.Connect(ctx, d.id)
 	if err == nil {
 		l.setLinked(d.id, true)
-		l.onConnect(ctx, d.id)
 	}
 	<-l.dialSlots
 	d.result <- err == nil
+	select {
+	case l.dialEnded <- struct{}{}:
+	default:
+	}
+	if err == nil {
+		l.onConnect(ctx, d.id)
+	}
 }
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -47,6 +47,7 @@
 	registry        *order.Registry
 	moves           *moveTracker
 	crashes         *crashLog
+	startLog        *startLog
 	upstream        *upstream
 	guard           *guard.Guard
 	entry           *entry.Entry
@@ -78,6 +79,7 @@
 	clk := clock.NewReal()
 	assert.SetLogger(log)
 	n := &Node{settings: s, platform: p, clock: clk, log: log, table: peers.New(s.Listen.Peer), meter: meter.New()}
+	n.startLog = newStartLog(clk, log)
 	n.store = &meteredStore{store: p.Store(), meter: n.meter}
 	records, end := n.readStoredPeers()
 	previous := records.lookup(s.Listen.Peer)
@@ -137,7 +139,9 @@
 	n.upstream = newUpstream(n.clock, n.log)
 	n.upstream.service = n.ownService
 	n.upstream.coldRateFactor = max(1, s.ColdOverage-coldOverageMargin)
+	n.upstream.dispatcher.SetColdSlack(s.ColdSlack)
 	n.upstream.onChange = n.announceUpstream
+	n.upstream.onNotice = func() { n.startLog.reach(stepConfirmed) }
 	n.restoreUpstream(previous)
 	n.health = &healthChecker{
 		clock: n.clock, log: n.log, platform: p, addr: s.UpstreamAddr, upstream: n.upstream, service: n.ownService,
@@ -195,6 +199,7 @@
 	n.watch.sendNotice = (&noticeSender{sync: n.sync}).send
 	n.announcer.onChange = func() { go (&recordPush{sync: n.sync}).run() }
 	n.registry.Subscribe(func(*order.ActiveSet) { n.watch.ordersChanged() })
+	n.registry.Subscribe(n.checkUpstream)
 	n.moves.notifyPeers = func() { n.sync.syncWithAll(context.Background()) }
 	n.reporter = newStatsReporter(n)
 	n.statusWriter = &statusWriter{moves: n.moves, platform: p, store: n.store, mayRestore: n.watch.mayRestore}
@@ -219,6 +224,16 @@
 	n.addGauges()
 }
 
+// checkUpstream applies the cold rate after a change of the orders and requests a health check,
+// whose path is part of them.
+func (n *Node) checkUpstream(active *order.ActiveSet) {
+	if active.Table != nil {
+		n.startLog.reach(stepConfigured)
+	}
+	n.upstream.update(func(clock.Milli, *health.Tracker) {})
+	n.upstream.requestCheck()
+}
+
 // logNewPeers logs records that were added to the table or updated there.
 func (n *Node) logNewPeers(records []peers.Record) {
 	for i := range records {
