queue: order and divide scarce slots by urgency and kind

Calls of 40 ms waited behind calls of 540 ms, and a burst of one route took all slots of an upstream, as the queue was ordered by priority and arrival only and its expected wait used one mean for all routes. Among equals, calls that still end within their soft deadline now come first, by their latest start; the wait is added up by route; a call that can't end by its deadline does not start; and slots are divided among the routes by priority and demand, with a floor for the least urgent. The slowdown that a cold upstream causes itself no longer counts as a slow VM, for which its calls waited while its rate went unused. The tests of the load and of the cold upstream fail without the change. Not yet measured on a deployment.

--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -11,6 +11,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/share"
 )
 
 const (
@@ -23,11 +24,9 @@
 	slowdownTTL = 500 * clock.Millisecond
 	// maxQueuedPerSlot limits the queue length, in multiples of the slots.
 	maxQueuedPerSlot = 3
-	// softDeadlineWaitFraction and deadlineWaitFraction are the fractions of the
-	// time until a call's soft deadline and deadline that it may wait. The longer
-	// wait applies.
-	softDeadlineWaitFraction = 0.5
-	deadlineWaitFraction     = 0.3
+	// deadlineWaitFraction is the fraction of the time until its deadline that a call may
+	// wait if it can't end within its soft deadline.
+	deadlineWaitFraction = 0.3
 	// maxSlowVMDelay is the longest delay by a slow VM for which a call is still
 	// started on it. A VM's slowdown changes after about that time, so waiting is
 	// better if the delay would be longer.
@@ -61,6 +60,9 @@
 	request     admit.Request
 	seq         uint64
 	latestStart clock.Milli
+	// latestTimelyStart is the latest start to end within the soft deadline, zero if the call
+	// has none.
+	latestTimelyStart clock.Milli
 	// latestLimitedStart replaces latestStart while the stated rate limit delays the call.
 	latestLimitedStart clock.Milli
 }
@@ -75,6 +77,7 @@
 	statedLimit statedLimiter
 	returns     returnSchedule
 	inProgress  map[call.ID]runningCall
+	demand      share.Table
 	queue       []queuedCall
 	seq         uint64
 	// serviceTimes and meanServiceTime are the mean service times by route and of all
@@ -84,8 +87,11 @@
 	measuredCalls   int
 	slowdown        float64
 	slowdownAt      clock.Milli
-	routeStats      map[string]*call.RouteStats
-	draining        bool
+	// coldSlowdown is the least slowdown reported while the upstream is cold, zero if none
+	// was: the part of the slowdown that is not the VM's.
+	coldSlowdown float64
+	routeStats   map[string]*call.RouteStats
+	draining     bool
 }
 
 // New returns a dispatcher for an upstream with the given number of slots, at least
@@ -104,7 +110,7 @@
 func (d *Dispatcher) Reset(slots int) {
 	d.slots = max(1, slots)
 	d.routeStats = make(map[string]*call.RouteStats)
-	d.slowdown = 0
+	d.slowdown, d.coldSlowdown = 0, 0
 }
 
 // LimitColdRate limits the calls per second until an instant. A rate of zero removes
@@ -118,6 +124,7 @@
 	if load.Slowdown > 0 {
 		d.slowdown, d.slowdownAt = load.Slowdown, now
 	}
+	d.observeColdSlowdown(now, load.Slowdown)
 }
 
 // ObserveNotice applies the rate limit that the upstream states, or ends it.
@@ -145,7 +152,10 @@
 	case now >= req.Deadline:
 		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonDeadline})
 	}
-	if len(d.queue) == 0 && d.canStart(now, req) {
+	d.demand.Observe(now, req.Route, req.Priority)
+	// What is left in the queue can't start, so it need not come first.
+	decisions = d.dispatchQueued(now, decisions)
+	if d.canStart(now, req) {
 		return append(decisions, d.admit(now, req))
 	}
 	if !req.MayQueue {
@@ -153,9 +163,10 @@
 		return append(decisions, admit.Decision{ID: req.ID, Reason: reason, RetryIn: d.rateLimitWait(now, reason)})
 	}
 	d.seq++
-	queued := queuedCall{request: req, seq: d.seq, latestStart: d.latestStart(now, req)}
+	d.sortQueue(now)
+	queued := queuedCall{request: req, seq: d.seq, latestStart: d.latestStart(now, req), latestTimelyStart: d.latestTimelyStart(req)}
 	queued.latestLimitedStart = d.latestLimitedStart(now, queued.latestStart, req)
-	position := d.queuePosition(queued)
+	position := d.queuePosition(now, queued)
 	if reason := d.lateStartReason(now, position, queued); reason != call.ReasonNone {
 		return append(decisions, d.refuseLate(now, req, reason))
 	}
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -1,8 +1,6 @@
 package queue
 
 import (
-	"slices"
-
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
@@ -30,7 +28,7 @@
 }
 
 func (d *Dispatcher) isVMSlow(now clock.Milli) bool {
-	return d.currentSlowdown(now) >= slowVMThreshold
+	return d.vmSlowdown(now) >= slowVMThreshold
 }
 
 // DelayedBySlowVM reports whether calls wait for the upstream's VM to become faster.
@@ -43,13 +41,20 @@
 	return now - d.slowdownAt
 }
 
-// latestStart returns the latest instant at which a call offered now may start.
+// latestStart returns the latest instant at which a call offered now may start. A call that
+// would end after its deadline may not, as it would only take room from others.
 func (d *Dispatcher) latestStart(now clock.Milli, req admit.Request) clock.Milli {
-	wait := max(minQueueWait, deadlineWaitFraction*(req.Deadline-now))
-	if req.SoftDeadline > 0 {
-		wait = max(wait, softDeadlineWaitFraction*(req.SoftDeadline-now))
+	latest := max(now+deadlineWaitFraction*(req.Deadline-now), d.latestTimelyStart(req))
+	return max(now+minQueueWait, min(latest, req.Deadline-d.baselineServiceTime(req.Route)))
+}
+
+// latestTimelyStart returns the latest instant at which a call may start to end within its
+// soft deadline, or zero if it has none.
+func (d *Dispatcher) latestTimelyStart(req admit.Request) clock.Milli {
+	if req.SoftDeadline == 0 {
+		return 0
 	}
-	return min(req.Deadline, now+wait)
+	return req.SoftDeadline - d.baselineServiceTime(req.Route)
 }
 
 // latestLimitedStart returns the latest instant at which a call may start if it waits for the
@@ -70,18 +75,6 @@
 	return wait > 0 && now+wait > queued.latestLimitedStart
 }
 
-// queuePosition returns the index at which a call is inserted into the queue, which
-// is ordered by priority, then by arrival.
-func (d *Dispatcher) queuePosition(queued queuedCall) int {
-	position, _ := slices.BinarySearchFunc(d.queue, queued, func(a, b queuedCall) int {
-		if a.request.Priority != b.request.Priority {
-			return a.request.Priority - b.request.Priority
-		}
-		return int(int64(a.seq) - int64(b.seq))
-	})
-	return position
-}
-
 // lateStartReason returns the reason to refuse a call that is not expected to start by
 // its latest start, and ReasonNone if it is.
 func (d *Dispatcher) lateStartReason(now clock.Milli, ahead int, queued queuedCall) call.Reason {
@@ -97,13 +90,34 @@
 	if len(d.inProgress) < d.maxInProgress() && ahead == 0 {
 		return call.ReasonNone
 	}
-	wait := clock.Milli(float64(ahead+1)/float64(d.maxInProgress())) * d.expectedServiceTime()
-	if now+wait > queued.latestStart {
+	if now+d.expectedWait(ahead) > queued.latestStart {
 		return call.ReasonQueueFull
 	}
 	return call.ReasonNone
 }
 
+// expectedWait returns the time until a slot is free for a call that has the first calls of
+// the queue ahead of it.
+func (d *Dispatcher) expectedWait(ahead int) clock.Milli {
+	work := d.runningServiceTime()
+	for _, queued := range d.queue[:ahead] {
+		work += d.baselineServiceTime(queued.request.Route)
+	}
+	return work / clock.Milli(d.maxInProgress())
+}
+
+// runningServiceTime returns the mean service time of the routes of the running calls.
+func (d *Dispatcher) runningServiceTime() clock.Milli {
+	if len(d.inProgress) == 0 {
+		return 0
+	}
+	var total clock.Milli
+	for _, run := range d.inProgress {
+		total += d.baselineServiceTime(run.route)
+	}
+	return total / clock.Milli(len(d.inProgress))
+}
+
 // refuseLate refuses a call that is not expected to start in time.
 func (d *Dispatcher) refuseLate(now clock.Milli, req admit.Request, reason call.Reason) admit.Decision {
 	decision := admit.Decision{ID: req.ID, Reason: reason}
@@ -128,33 +142,31 @@
 	return d.coldLimit.hasToken(now) && d.statedLimit.hasToken(now)
 }
 
-// currentSlowdown returns the last reported slowdown, and 1 if there is no recent one.
-func (d *Dispatcher) currentSlowdown(now clock.Milli) float64 {
-	if d.slowdown == 0 || now-d.slowdownAt > slowdownTTL {
-		return 1
-	}
-	return d.slowdown
-}
-
 // canStart reports whether a call may start now. On a slow VM, only a short call that
 // has no other target may.
 func (d *Dispatcher) canStart(now clock.Milli, req admit.Request) bool {
-	if len(d.inProgress) >= d.maxInProgress() || !d.hasTokens(now) {
+	if len(d.inProgress) >= d.maxInProgress() || !d.hasTokens(now) || d.exceedsShare(now, req.Route) {
 		return false
 	}
 	if !d.isVMSlow(now) {
 		return true
 	}
-	return req.MayQueue && clock.Milli(d.currentSlowdown(now)-1)*d.baselineServiceTime(req.Route) <= maxSlowVMDelay
+	return req.MayQueue && clock.Milli(d.vmSlowdown(now)-1)*d.baselineServiceTime(req.Route) <= maxSlowVMDelay
 }
 
-// dispatchQueued admits queued calls in order while the first one may start.
+// dispatchQueued admits queued calls that may start, in order. One that may not, because its
+// route has its share, does not hold up those behind it.
 func (d *Dispatcher) dispatchQueued(now clock.Milli, decisions []admit.Decision) []admit.Decision {
-	for len(d.queue) > 0 && d.canStart(now, d.queue[0].request) {
-		queued := d.queue[0]
-		d.queue = d.queue[1:]
-		decisions = append(decisions, d.admit(now, queued.request))
+	d.sortQueue(now)
+	kept := d.queue[:0]
+	for _, queued := range d.queue {
+		if d.canStart(now, queued.request) {
+			decisions = append(decisions, d.admit(now, queued.request))
+			continue
+		}
+		kept = append(kept, queued)
 	}
+	d.queue = kept
 	return decisions
 }
 
