queue: keep calls away from an upstream that sheds all of them

An upstream that refuses every call while its health is good cost each entry its own attempts, and a retry from the budget for each.

--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -76,6 +76,7 @@
 	// it refuses.
 	statedLimit statedLimiter
 	returns     returnSchedule
+	shedGate    shedGate
 	inProgress  map[call.ID]runningCall
 	demand      share.Table
 	queue       []queuedCall
@@ -111,6 +112,7 @@
 	d.slots = max(1, slots)
 	d.routeStats = make(map[string]*call.RouteStats)
 	d.slowdown, d.coldSlowdown = 0, 0
+	d.shedGate = shedGate{}
 }
 
 // LimitColdRate limits the calls per second until an instant. A rate of zero removes
@@ -151,6 +153,8 @@
 		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonLeaving})
 	case now >= req.Deadline:
 		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonDeadline})
+	case !d.shedGate.allows(now):
+		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonShedding})
 	}
 	d.demand.Observe(now, req.Route, req.Priority)
 	// What is left in the queue can't start, so it need not come first.
@@ -208,8 +212,14 @@
 	if r.Load != nil {
 		d.ObserveLoad(now, *r.Load)
 	}
-	if !r.NotRun {
+	switch {
+	case !r.NotRun:
+		if !r.Cancelled {
+			d.shedGate.recordRun()
+		}
 		d.countResult(run, r)
+	case !r.Failed:
+		d.shedGate.recordShed(now)
 	}
 	return d.dispatchQueued(now, d.expireQueued(now, nil))
 }
@@ -259,57 +269,12 @@
 	return d.dispatchQueued(now, d.expireQueued(now, nil))
 }
 
-// UpstreamState returns the current state of the upstream, without Target and
-// Incarnation.
-func (d *Dispatcher) UpstreamState(now clock.Milli) call.UpstreamState {
-	state := call.UpstreamState{
-		InProgress:   len(d.inProgress),
-		Queued:       len(d.queue),
-		Limit:        d.maxInProgress(),
-		Slots:        d.slots,
-		Latency:      d.meanServiceTime,
-		Cold:         d.coldLimit.isActive(now),
-		Slowdown:     d.currentSlowdown(now),
-		Leaving:      d.draining,
-		AdmitDelay:   min(maxCallInterval, d.statedLimit.waitTime(now, len(d.queue))),
-		CallInterval: d.statedLimit.callInterval(),
-	}
-	if state.Cold {
-		state.Limit = max(1, min(d.maxInProgress(), int(d.coldLimit.bucket.availableTokens(now))))
-	}
-	return state
-}
-
-// RouteStats returns the statistics of each route since the last Reset, in no
-// particular order.
-func (d *Dispatcher) RouteStats(now clock.Milli) []call.RouteStats {
-	for _, stats := range d.routeStats {
-		stats.Running = call.LatencyHistogram{}
-	}
-	for _, run := range d.inProgress {
-		d.statsOf(run.route).Running.Observe(run.serviceTime(now - run.startedAt))
-	}
-	out := make([]call.RouteStats, 0, len(d.routeStats))
-	for _, stats := range d.routeStats {
-		out = append(out, *stats)
-	}
-	return out
-}
-
-func (d *Dispatcher) statsOf(route string) *call.RouteStats {
-	stats := d.routeStats[route]
-	if stats == nil {
-		stats = &call.RouteStats{Route: route}
-		d.routeStats[route] = stats
-	}
-	return stats
-}
-
 func (d *Dispatcher) admit(now clock.Milli, req admit.Request) admit.Decision {
 	_, running := d.inProgress[req.ID]
 	assert.That(!running, assert.AtMostOnce, "id %s admitted while it runs", req.ID)
 	d.coldLimit.takeToken(now)
 	d.statedLimit.takeToken(now)
+	d.shedGate.recordStart(now)
 	d.inProgress[req.ID] = runningCall{route: req.Route, startedAt: now, slowdown: d.currentSlowdown(now)}
 	return admit.Decision{ID: req.ID, Admit: true}
 }
