--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -156,7 +156,10 @@
 	case !d.shedGate.allows(now):
 		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonShedding})
 	}
-	d.demand.Observe(now, req.Route, req.Priority)
+	if !d.isVMSlow(now) && d.hasTokens(now) {
+		// Otherwise, the call is sent elsewhere and is no demand for the slots here.
+		d.demand.Observe(now, req.Route, req.Priority)
+	}
 	// What is left in the queue can't start, so it need not come first.
 	decisions = d.dispatchQueued(now, decisions)
 	if d.canStart(now, req) {
--- a/internal/core/queue/reserve.go
+++ b/internal/core/queue/reserve.go
@@ -19,6 +19,6 @@
 	if len(demands) < 2 {
 		return false
 	}
-	parts := share.Divide(float64(d.maxInProgress()), demands)
-	return len(d.inProgress)+1+share.Reserve(parts, route) > d.maxInProgress()
+	slots := float64(d.maxInProgress())
+	return len(d.inProgress)+1+share.Reserve(slots, share.Divide(slots, demands), route) > d.maxInProgress()
 }
