queue: count the cold slowdown and a margin in the latest start

The latest start to end within the soft deadline had no margin, and counted a cold upstream's calls as long as a warm one's, so that calls were started just too late to be worth their full value. Not yet measured.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -43,6 +44,12 @@
 	m.set.GetOrCreateCounter(`guard_refusals_total{reason="` + reason + `"}`).Inc()
 }
 
+// CountRefusedCall counts a call of the given priority that ended at the entry without having
+// run.
+func (m *Meter) CountRefusedCall(priority int, reason string) {
+	m.set.GetOrCreateCounter(`calls_refused_total{priority="` + strconv.Itoa(priority) + `",reason="` + reason + `"}`).Inc()
+}
+
 // CountStoreCall counts a call to the platform's store and its result.
 func (m *Meter) CountStoreCall(call, result string) {
 	m.set.GetOrCreateCounter(`store_calls_total{call="` + call + `",result="` + result + `"}`).Inc()
--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -27,6 +27,8 @@
 	// deadlineWaitFraction is the fraction of the time until its deadline that a call may
 	// wait if it can't end within its soft deadline.
 	deadlineWaitFraction = 0.3
+	// serviceTimeMargin covers calls that take longer than the mean of their route.
+	serviceTimeMargin = 1.5
 	// maxSlowVMDelay is the longest delay by a slow VM for which a call is still
 	// started on it. A VM's slowdown changes after about that time, so waiting is
 	// better if the delay would be longer.
@@ -171,7 +173,7 @@
 	}
 	d.seq++
 	d.sortQueue(now)
-	queued := queuedCall{request: req, seq: d.seq, latestStart: d.latestStart(now, req), latestTimelyStart: d.latestTimelyStart(req)}
+	queued := queuedCall{request: req, seq: d.seq, latestStart: d.latestStart(now, req), latestTimelyStart: d.latestTimelyStart(now, req)}
 	queued.latestLimitedStart = d.latestLimitedStart(now, queued.latestStart, req)
 	position := d.queuePosition(now, queued)
 	if reason := d.lateStartReason(now, position, queued); reason != call.ReasonNone {
--- a/internal/core/queue/slowdown.go
+++ b/internal/core/queue/slowdown.go
@@ -26,8 +26,13 @@
 // vmSlowdown returns the slowdown without the part that a cold upstream causes itself, for
 // which a call need not wait: it ends with the cold time, not with a slow spell of the VM.
 func (d *Dispatcher) vmSlowdown(now clock.Milli) float64 {
-	if !d.coldLimit.isActive(now) || d.coldSlowdown == 0 {
-		return d.currentSlowdown(now)
+	return d.currentSlowdown(now) / d.ownSlowdown(now)
+}
+
+// ownSlowdown returns the slowdown that a cold upstream causes itself, 1 for a warm one.
+func (d *Dispatcher) ownSlowdown(now clock.Milli) float64 {
+	if !d.coldLimit.isActive(now) {
+		return 1
 	}
-	return d.currentSlowdown(now) / max(1, min(maxColdSlowdown, d.coldSlowdown))
+	return max(1, min(maxColdSlowdown, d.coldSlowdown))
 }
--- a/internal/core/queue/state.go
+++ b/internal/core/queue/state.go
@@ -50,3 +50,9 @@
 	}
 	return stats
 }
+
+// IsShedding reports whether the upstream has shed so many calls in a row that it only gets
+// single ones.
+func (d *Dispatcher) IsShedding() bool {
+	return d.shedGate.isClosed()
+}
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -44,17 +44,23 @@
 // latestStart returns the latest instant at which a call offered now may start. A call that
 // would end after its deadline may not, as it would only take room from others.
 func (d *Dispatcher) latestStart(now clock.Milli, req admit.Request) clock.Milli {
-	latest := max(now+deadlineWaitFraction*(req.Deadline-now), d.latestTimelyStart(req))
-	return max(now+minQueueWait, min(latest, req.Deadline-d.baselineServiceTime(req.Route)))
+	latest := max(now+deadlineWaitFraction*(req.Deadline-now), d.latestTimelyStart(now, req))
+	return max(now+minQueueWait, min(latest, req.Deadline-d.likelyServiceTime(now, req.Route)))
 }
 
 // latestTimelyStart returns the latest instant at which a call may start to end within its
-// soft deadline, or zero if it has none.
-func (d *Dispatcher) latestTimelyStart(req admit.Request) clock.Milli {
+// soft deadline in most cases, or zero if it has none.
+func (d *Dispatcher) latestTimelyStart(now clock.Milli, req admit.Request) clock.Milli {
 	if req.SoftDeadline == 0 {
 		return 0
 	}
-	return req.SoftDeadline - d.baselineServiceTime(req.Route)
+	return req.SoftDeadline - serviceTimeMargin*d.likelyServiceTime(now, req.Route)
+}
+
+// likelyServiceTime returns the mean service time of a route without slow spells of the VM,
+// but with the slowdown of a cold upstream.
+func (d *Dispatcher) likelyServiceTime(now clock.Milli, route string) clock.Milli {
+	return clock.Milli(d.ownSlowdown(now)) * d.baselineServiceTime(route)
 }
 
 // latestLimitedStart returns the latest instant at which a call may start if it waits for the
--- a/internal/node/mesh/metrics.go
+++ b/internal/node/mesh/metrics.go
@@ -15,6 +15,9 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/guard"
 )
 
+// maxPriorityLabel bounds the label sets of refused calls. Calls of lower urgency have it, too.
+const maxPriorityLabel = 9
+
 // routeType returns the value of the metric label route_type for a request.
 func routeType(r *call.Request) string {
 	switch {
@@ -29,6 +32,9 @@
 
 func (n *Node) recordCall(d entry.CallSummary) {
 	n.meter.ObserveCall(routeType(d.Request), d.Outcome.String(), d.Reason.String(), d.Latency)
+	if d.Outcome == call.OutcomeNotRun {
+		n.meter.CountRefusedCall(min(d.Request.Priority, maxPriorityLabel), d.Reason.String())
+	}
 }
 
 func (n *Node) recordUpstream(s guard.Sample) {
@@ -60,6 +66,7 @@
 	n.meter.AddGauge("upstream_pace_age_seconds", func() float64 { return float64(n.upstream.slowdownAge() / clock.Second) })
 	n.meter.AddGauge("requests_held", func() float64 { return float64(n.crashes.held()) })
 	n.meter.AddGauge("upstream_limited", func() float64 { return gaugeValue(n.upstream.notice().Limited) })
+	n.meter.AddGauge("upstream_shedding", func() float64 { return gaugeValue(n.upstream.isShedding()) })
 	n.meter.AddGauge("upstream_limit_per_second", func() float64 { return n.upstream.notice().RateLimit })
 	n.meter.AddGauge("version_answers", func() float64 { return float64(n.moves.evidence(n.settings.Service).Answers) })
 	n.meter.AddGauge("version_bad_answers", func() float64 { return float64(n.moves.evidence(n.settings.Service).Bad) })
