--- a/internal/admin/report/clauses.go
+++ b/internal/admin/report/clauses.go
@@ -22,7 +22,6 @@
 	call.ReasonQueueTimeout:   "it had waited too long for a place",
 	call.ReasonQueueFull:      "too many calls were waiting already",
 	call.ReasonCold:           "the server had just started and could not take more yet",
-	call.ReasonShedding:       "the server had shed several requests in a row, so it got only single ones to try",
 	call.ReasonCrashes:        "servers had crashed while they ran the same request, so it was held back",
 	call.ReasonRateLimit:      "the server had asked for fewer requests a second than were sent to it",
 	call.ReasonBackgroundShed: "background work was put off to keep capacity for users",
--- a/internal/core/call/enums.go
+++ b/internal/core/call/enums.go
@@ -99,5 +99,4 @@
 	ReasonBodyTooLarge                 // body_too_large
 	ReasonRateLimit                    // rate_limit
 	ReasonCrashes                      // crashes
-	ReasonShedding                     // shedding
 )
--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -78,7 +78,6 @@
 	// it refuses.
 	statedLimit statedLimiter
 	returns     returnSchedule
-	shedGate    shedGate
 	inProgress  map[call.ID]runningCall
 	demand      share.Table
 	queue       []queuedCall
@@ -114,7 +113,6 @@
 	d.slots = max(1, slots)
 	d.routeStats = make(map[string]*call.RouteStats)
 	d.slowdown, d.coldSlowdown = 0, 0
-	d.shedGate = shedGate{}
 }
 
 // LimitColdRate limits the calls per second until an instant. A rate of zero removes
@@ -155,8 +153,6 @@
 		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonLeaving})
 	case now >= req.Deadline:
 		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonDeadline})
-	case !d.shedGate.allows(now):
-		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonShedding})
 	}
 	if !d.isVMSlow(now) && d.hasTokens(now) {
 		// Otherwise, the call is sent elsewhere and is no demand for the slots here.
@@ -217,14 +213,8 @@
 	if r.Load != nil {
 		d.ObserveLoad(now, *r.Load)
 	}
-	switch {
-	case !r.NotRun:
-		if !r.Cancelled {
-			d.shedGate.recordRun()
-		}
+	if !r.NotRun {
 		d.countResult(run, r)
-	case !r.Failed:
-		d.shedGate.recordShed(now)
 	}
 	return d.dispatchQueued(now, d.expireQueued(now, nil))
 }
@@ -279,7 +269,6 @@
 	assert.That(!running, assert.AtMostOnce, "id %s admitted while it runs", req.ID)
 	d.coldLimit.takeToken(now)
 	d.statedLimit.takeToken(now)
-	d.shedGate.recordStart(now)
 	d.inProgress[req.ID] = runningCall{route: req.Route, startedAt: now, slowdown: d.currentSlowdown(now)}
 	return admit.Decision{ID: req.ID, Admit: true}
 }
--- a/internal/core/queue/state.go
+++ b/internal/core/queue/state.go
@@ -17,8 +17,8 @@
 		Cold:         d.coldLimit.isActive(now),
 		Slowdown:     d.currentSlowdown(now),
 		Leaving:      d.draining,
-		AdmitDelay:   min(maxCallInterval, max(d.shedGate.waitTime(now), d.statedLimit.waitTime(now, len(d.queue)))),
-		CallInterval: max(d.shedGate.callInterval(), d.statedLimit.callInterval()),
+		AdmitDelay:   min(maxCallInterval, d.statedLimit.waitTime(now, len(d.queue))),
+		CallInterval: d.statedLimit.callInterval(),
 	}
 	if state.Cold {
 		state.Limit = max(1, min(d.maxInProgress(), int(d.coldLimit.bucket.availableTokens(now))))
@@ -50,9 +50,3 @@
 	}
 	return stats
 }
-
-// IsShedding reports whether the upstream has shed so many calls in a row that it only gets
-// single ones.
-func (d *Dispatcher) IsShedding() bool {
-	return d.shedGate.isClosed()
-}
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -151,7 +151,7 @@
 // canStart reports whether a call may start now. On a slow VM, only a short call that
 // has no other target may.
 func (d *Dispatcher) canStart(now clock.Milli, req admit.Request) bool {
-	if len(d.inProgress) >= d.maxInProgress() || !d.hasTokens(now) || !d.shedGate.allows(now) || d.exceedsShare(now, req.Route) {
+	if len(d.inProgress) >= d.maxInProgress() || !d.hasTokens(now) || d.exceedsShare(now, req.Route) {
 		return false
 	}
 	if !d.isVMSlow(now) {
@@ -193,8 +193,6 @@
 		switch {
 		case now >= queued.request.Deadline:
 			decisions = append(decisions, admit.Decision{ID: queued.request.ID, Reason: call.ReasonDeadline})
-		case !d.shedGate.allows(now):
-			decisions = append(decisions, admit.Decision{ID: queued.request.ID, Reason: call.ReasonShedding})
 		case now >= queued.latestStart && d.canAnswerOnSlowVM(now, queued):
 			decisions = append(decisions, d.admit(now, queued.request))
 		case d.isLimitedTooLong(now, len(kept), queued):
--- a/internal/node/mesh/upstream.go
+++ b/internal/node/mesh/upstream.go
@@ -201,19 +201,7 @@
 func (u *upstream) Finish(now clock.Milli, id call.ID, r admit.Result) []admit.Decision {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	before := u.dispatcher.IsShedding()
-	decisions := u.dispatcher.Finish(now, id, r)
-	if shedding := u.dispatcher.IsShedding(); shedding != before {
-		u.log.Info().Str("upstream", u.lastState.Instance).Bool("shedding", shedding).Msg("upstream_shedding")
-	}
-	return decisions
-}
-
-// isShedding reports whether the upstream gets only single calls, as it shed the last ones.
-func (u *upstream) isShedding() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.dispatcher.IsShedding()
+	return u.dispatcher.Finish(now, id, r)
 }
 
 // Cancel implements guard.Admitter.
