--- a/internal/core/queue/load_test.go
+++ b/internal/core/queue/load_test.go
@@ -27,8 +27,9 @@
 }
 
 // play offers calls of the kinds for a duration to a dispatcher that runs them in their
-// service times. It returns the share of calls that ended within their soft deadline, by kind.
-func play(d *queue.Dispatcher, kinds map[string]kind, duration clock.Milli) map[string]float64 {
+// service times. It returns the share of calls that ended within their soft deadline, by kind,
+// and the mean number of calls in progress.
+func play(d *queue.Dispatcher, kinds map[string]kind, duration clock.Milli) (timely map[string]float64, inProgress float64) {
 	calls := map[call.ID]*offered{}
 	settle := func(now clock.Milli, decisions []admit.Decision) {
 		for _, decision := range decisions {
@@ -64,8 +65,10 @@
 			settle(now, d.Offer(now, admit.Request{ID: id, Priority: k.priority, Route: name, MayQueue: true, SoftDeadline: now + k.soft, Deadline: now + k.maxAge}))
 		}
 		settle(now, d.Tick(now))
+		inProgress += float64(d.UpstreamState(now).InProgress) / float64(duration)
 	}
-	total, timely := map[string]float64{}, map[string]float64{}
+	total := map[string]float64{}
+	timely = map[string]float64{}
 	for _, c := range calls {
 		total[c.kind]++
 		if c.timely {
@@ -75,7 +78,7 @@
 	for name := range total {
 		timely[name] /= total[name]
 	}
-	return timely
+	return timely, inProgress
 }
 
 // Guards against short calls that wait behind long ones which could wait longer, against long
@@ -90,15 +93,18 @@
 	tests := map[string]struct {
 		kinds map[string]kind
 		want  map[string]float64
+		// inProgress is the least mean number of calls in progress, of four slots.
+		inProgress float64
 	}{
-		"short and long, nearly full":  {map[string]kind{"short": short, "long": long}, map[string]float64{"short": 0.97, "long": 0.9}},
-		"short and long, over the top": {map[string]kind{"short": short, "long": burst}, map[string]float64{"short": 0.9, "long": 0.5}},
-		"urgent and patient":           {map[string]kind{"urgent": urgent, "patient": patient}, map[string]float64{"urgent": 0.97, "patient": 0.5}},
+		"short and long, nearly full":  {map[string]kind{"short": short, "long": long}, map[string]float64{"short": 0.97, "long": 0.9}, 3.5},
+		"short and long, over the top": {map[string]kind{"short": short, "long": burst}, map[string]float64{"short": 0.9, "long": 0.5}, 3.7},
+		"urgent and patient":           {map[string]kind{"urgent": urgent, "patient": patient}, map[string]float64{"urgent": 0.97, "patient": 0.5}, 3.7},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			got := play(queue.New(6), tt.kinds, 20*clock.Second)
+			got, inProgress := play(queue.New(6), tt.kinds, 20*clock.Second)
+			g.Expect(inProgress).To(BeNumerically(">=", tt.inProgress))
 			for kind, least := range tt.want {
 				g.Expect(got[kind]).To(BeNumerically(">=", least), "share of %s in time; all: %v", kind, got)
 			}
@@ -106,6 +112,22 @@
 	}
 }
 
+// Guards against slots that are kept for a burst after it has ended.
+func TestReleaseAfterBurst(t *testing.T) {
+	g := NewWithT(t)
+	d := queue.New(6)
+	play(d, map[string]kind{
+		"burst": {priority: 0, interval: 5, service: 40, soft: 200, maxAge: 500},
+		"other": {priority: 1, interval: 100, service: 540, soft: 1500, maxAge: 8000},
+	}, 2*clock.Second)
+	now := start + 3*clock.Second
+	for i := range 30 {
+		id := call.ID{byte(i), 2}
+		d.Offer(now, admit.Request{ID: id, Priority: 1, Route: "other", MayQueue: true, Deadline: now + 8000})
+	}
+	g.Expect(d.UpstreamState(now).InProgress).To(Equal(4))
+}
+
 // Guards against a cold upstream that gets no calls, although its rate allows them, because the
 // slowdown of its start is taken for that of its VM.
 func TestColdUpstreamIsNotSlowVM(t *testing.T) {
