--- a/internal/admin/report/clauses.go
+++ b/internal/admin/report/clauses.go
@@ -22,6 +22,7 @@
 	call.ReasonQueueTimeout:   "it had waited too long for a place",
 	call.ReasonQueueFull:      "too many calls were waiting already",
 	call.ReasonCold:           "the server had just started and could not take more yet",
+	call.ReasonRouteShare:     "the servers had too few slots for all requests, and those of its route had their part",
 	call.ReasonCrashes:        "servers had crashed while they ran the same request, so it was held back",
 	call.ReasonRateLimit:      "the server had asked for fewer requests a second than were sent to it",
 	call.ReasonBackgroundShed: "background work was put off to keep capacity for users",
--- a/internal/core/call/enums.go
+++ b/internal/core/call/enums.go
@@ -99,4 +99,5 @@
 	ReasonBodyTooLarge                 // body_too_large
 	ReasonRateLimit                    // rate_limit
 	ReasonCrashes                      // crashes
+	ReasonRouteShare                   // route_share
 )
--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -80,8 +80,10 @@
 	returns     returnSchedule
 	inProgress  map[call.ID]runningCall
 	demand      share.Table
-	queue       []queuedCall
-	seq         uint64
+	// shortAt is when the slots last did not suffice for the demand, zero for never.
+	shortAt clock.Milli
+	queue   []queuedCall
+	seq     uint64
 	// serviceTimes and meanServiceTime are the mean service times by route and of all
 	// calls, without slowdown of the VM. meanServiceTime is that of measuredCalls.
 	serviceTimes    map[string]clock.Milli
@@ -164,7 +166,7 @@
 		return append(decisions, d.admit(now, req))
 	}
 	if !req.MayQueue {
-		reason := d.refusalReason(now)
+		reason := d.refusalReason(now, req.Route)
 		return append(decisions, admit.Decision{ID: req.ID, Reason: reason, RetryIn: d.rateLimitWait(now, reason)})
 	}
 	d.seq++
--- a/internal/core/queue/reserve.go
+++ b/internal/core/queue/reserve.go
@@ -5,8 +5,11 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/share"
 )
 
+// shortageEnd is the time without a lack of slots after which a shortage has ended.
+const shortageEnd = clock.Second
+
 // exceedsShare reports whether a call of the route would take a slot that the calls of other
-// routes, which are expected, need more.
+// routes, which are expected, need more. It is false while the slots suffice for all.
 func (d *Dispatcher) exceedsShare(now clock.Milli, route string) bool {
 	if 2*len(d.inProgress) < d.maxInProgress() {
 		return false
@@ -16,9 +19,15 @@
 		running[run.route]++
 	}
 	demands := d.demand.Demands(now, func(route string) int { return running[route] }, d.baselineServiceTime)
-	if len(demands) < 2 {
+	slots := float64(d.maxInProgress())
+	if !share.IsShort(slots, demands) {
 		return false
 	}
-	slots := float64(d.maxInProgress())
-	return len(d.inProgress)+1+share.Reserve(slots, share.Divide(slots, demands), route) > d.maxInProgress()
+	d.shortAt = now
+	return len(d.inProgress)+1+share.Reserve(share.Divide(slots, demands), route) > d.maxInProgress()
+}
+
+// IsShort reports whether the slots do not suffice for the calls that arrive.
+func (d *Dispatcher) IsShort(now clock.Milli) bool {
+	return d.shortAt > 0 && now-d.shortAt < shortageEnd
 }
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -8,7 +8,7 @@
 
 // refusalReason returns why a call that can't start immediately is refused if it has
 // other targets left.
-func (d *Dispatcher) refusalReason(now clock.Milli) call.Reason {
+func (d *Dispatcher) refusalReason(now clock.Milli, route string) call.Reason {
 	switch {
 	case d.coldLimit.isActive(now) && !d.coldLimit.hasToken(now):
 		return call.ReasonCold
@@ -16,6 +16,8 @@
 		return call.ReasonRateLimit
 	case d.isVMSlow(now):
 		return call.ReasonSlowVM
+	case len(d.inProgress) < d.maxInProgress() && d.exceedsShare(now, route):
+		return call.ReasonRouteShare
 	default:
 		return call.ReasonBusy
 	}
@@ -184,6 +186,14 @@
 		now+clock.Milli(d.currentSlowdown(now))*d.baselineServiceTime(queued.request.Route) < queued.request.Deadline
 }
 
+// timeoutReason returns why a call has waited too long.
+func (d *Dispatcher) timeoutReason(now clock.Milli, route string) call.Reason {
+	if len(d.inProgress) < d.maxInProgress() && d.exceedsShare(now, route) {
+		return call.ReasonRouteShare
+	}
+	return call.ReasonQueueTimeout
+}
+
 // expireQueued refuses the queued calls that can no longer start in time, also because a
 // lower rate limit was stated or calls of higher priority have arrived. It admits those
 // that have waited for a faster VM but can still be answered by the slow one.
@@ -198,7 +208,7 @@
 		case d.isLimitedTooLong(now, len(kept), queued):
 			decisions = append(decisions, d.refuseLate(now, queued.request, call.ReasonRateLimit))
 		case now >= queued.latestStart:
-			decisions = append(decisions, admit.Decision{ID: queued.request.ID, Reason: call.ReasonQueueTimeout})
+			decisions = append(decisions, admit.Decision{ID: queued.request.ID, Reason: d.timeoutReason(now, queued.request.Route)})
 		default:
 			kept = append(kept, queued)
 		}
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -203,7 +203,7 @@
 // calls that were are not retried, which leaves the budget to other classes.
 func refusedForLoad(r call.Reason) bool {
 	switch r {
-	case call.ReasonBackgroundShed, call.ReasonQueueTimeout, call.ReasonQueueFull, call.ReasonCold, call.ReasonRateLimit:
+	case call.ReasonBackgroundShed, call.ReasonRouteShare, call.ReasonQueueTimeout, call.ReasonQueueFull, call.ReasonCold, call.ReasonRateLimit:
 		return true
 	default:
 		return false
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -76,17 +76,18 @@
 	return n
 }
 
-// Reserve returns the number of slots that a further call of a route must leave free for
-// the calls of other routes that will arrive. It is zero while the route is within its part,
-// and while the slots suffice for all.
-func Reserve(slots float64, parts []Part, route string) int {
+// IsShort reports whether the slots do not suffice for the demands.
+func IsShort(slots float64, demands []Demand) bool {
 	total := 0.0
-	for _, p := range parts {
-		total += p.Load
-	}
-	if total <= slots {
-		return 0
+	for _, d := range demands {
+		total += d.Load
 	}
+	return total > slots
+}
+
+// Reserve returns the number of slots that a further call of a route must leave free for
+// the calls of other routes that will arrive. It is zero while the route is within its part.
+func Reserve(parts []Part, route string) int {
 	i := slices.IndexFunc(parts, func(p Part) bool { return p.Route == route })
 	if i < 0 || float64(parts[i].Running+1) <= parts[i].Slots {
 		return 0
--- a/internal/node/mesh/metrics.go
+++ b/internal/node/mesh/metrics.go
@@ -66,6 +66,7 @@
 	n.meter.AddGauge("upstream_pace_age_seconds", func() float64 { return float64(n.upstream.slowdownAge() / clock.Second) })
 	n.meter.AddGauge("requests_held", func() float64 { return float64(n.crashes.held()) })
 	n.meter.AddGauge("upstream_limited", func() float64 { return gaugeValue(n.upstream.notice().Limited) })
+	n.meter.AddGauge("upstream_slots_short", func() float64 { return gaugeValue(n.upstream.isShort()) })
 	n.meter.AddGauge("upstream_limit_per_second", func() float64 { return n.upstream.notice().RateLimit })
 	n.meter.AddGauge("version_answers", func() float64 { return float64(n.moves.evidence(n.settings.Service).Answers) })
 	n.meter.AddGauge("version_bad_answers", func() float64 { return float64(n.moves.evidence(n.settings.Service).Bad) })
--- a/internal/node/mesh/upstream.go
+++ b/internal/node/mesh/upstream.go
@@ -46,6 +46,8 @@
 	// peerReplied is set once a peer has replied to this daemon. A peer returns the record
 	// of the earlier daemon with its first reply.
 	peerReplied atomic.Bool
+	// wasShort is set if the last call was offered during a shortage of slots.
+	wasShort bool
 	// checkRequested triggers a health check, for example when calls are queued because the
 	// VM is slow.
 	checkRequested chan struct{}
@@ -184,12 +186,30 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	decisions := u.dispatcher.Offer(now, request)
+	u.logShortage(now)
 	if u.dispatcher.DelayedBySlowVM(now) {
 		u.requestCheck()
 	}
 	return decisions
 }
 
+// logShortage logs the begin and the end of a shortage of slots. The caller holds the lock.
+func (u *upstream) logShortage(now clock.Milli) {
+	short := u.dispatcher.IsShort(now)
+	if short == u.wasShort {
+		return
+	}
+	u.wasShort = short
+	u.log.Info().Str("upstream", u.lastState.Instance).Bool("short", short).Msg("upstream_slots_short")
+}
+
+// isShort reports whether the upstream's slots do not suffice for the calls that arrive.
+func (u *upstream) isShort() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.dispatcher.IsShort(u.clock.Now())
+}
+
 func (u *upstream) requestCheck() {
 	select {
 	case u.checkRequested <- struct{}{}:
--- a/internal/path/entry/call_runner.go
+++ b/internal/path/entry/call_runner.go
@@ -139,7 +139,12 @@
 // isTemporaryRefusal reports whether a target that refused a call for this
 // reason may accept it later.
 func isTemporaryRefusal(r call.Reason) bool {
-	return r == call.ReasonBusy || r == call.ReasonSlowVM || r == call.ReasonCold || r == call.ReasonRateLimit
+	switch r {
+	case call.ReasonBusy, call.ReasonRouteShare, call.ReasonSlowVM, call.ReasonCold, call.ReasonRateLimit:
+		return true
+	default:
+		return false
+	}
 }
 
 // hasUntriedTarget reports whether the call can be sent to a target that was not
