--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -156,19 +156,18 @@
 	case now >= req.Deadline:
 		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonDeadline})
 	}
-	if !d.isVMSlow(now) && d.hasTokens(now) {
-		// Otherwise, the call is sent elsewhere and is no demand for the slots here.
-		d.demand.Observe(now, req.Route, req.Priority)
-	}
 	// What is left in the queue can't start, so it need not come first.
 	decisions = d.dispatchQueued(now, decisions)
 	if d.canStart(now, req) {
+		d.demand.Observe(now, req.Route, req.Priority)
 		return append(decisions, d.admit(now, req))
 	}
 	if !req.MayQueue {
 		reason := d.refusalReason(now, req.Route)
 		return append(decisions, admit.Decision{ID: req.ID, Reason: reason, RetryIn: d.rateLimitWait(now, reason)})
 	}
+	// A call that is sent elsewhere instead is no demand for the slots here.
+	d.demand.Observe(now, req.Route, req.Priority)
 	d.seq++
 	d.sortQueue(now)
 	queued := queuedCall{request: req, seq: d.seq, latestStart: d.latestStart(now, req), latestTimelyStart: d.latestTimelyStart(now, req)}
