--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -79,7 +79,9 @@
 	statedLimit statedLimiter
 	returns     returnSchedule
 	inProgress  map[call.ID]runningCall
-	demand      share.Table
+	// runningByRoute counts inProgress by route.
+	runningByRoute map[string]int
+	demand         share.Table
 	// shortAt is when the slots last did not suffice for the demand, zero for never.
 	shortAt clock.Milli
 	queue   []queuedCall
@@ -102,10 +104,11 @@
 // one.
 func New(slots int) *Dispatcher {
 	return &Dispatcher{
-		slots:        max(1, slots),
-		inProgress:   make(map[call.ID]runningCall),
-		serviceTimes: make(map[string]clock.Milli),
-		routeStats:   make(map[string]*call.RouteStats),
+		slots:          max(1, slots),
+		inProgress:     make(map[call.ID]runningCall),
+		runningByRoute: make(map[string]int),
+		serviceTimes:   make(map[string]clock.Milli),
+		routeStats:     make(map[string]*call.RouteStats),
 	}
 }
 
@@ -211,6 +214,7 @@
 		return nil
 	}
 	delete(d.inProgress, id)
+	d.countRunning(run.route, -1)
 	if r.Load != nil {
 		d.ObserveLoad(now, *r.Load)
 	}
@@ -271,5 +275,13 @@
 	d.coldLimit.takeToken(now)
 	d.statedLimit.takeToken(now)
 	d.inProgress[req.ID] = runningCall{route: req.Route, startedAt: now, slowdown: d.currentSlowdown(now)}
+	d.countRunning(req.Route, 1)
 	return admit.Decision{ID: req.ID, Admit: true}
 }
+
+func (d *Dispatcher) countRunning(route string, change int) {
+	d.runningByRoute[route] += change
+	if d.runningByRoute[route] == 0 {
+		delete(d.runningByRoute, route)
+	}
+}
--- a/internal/core/queue/reserve.go
+++ b/internal/core/queue/reserve.go
@@ -14,11 +14,7 @@
 	if 2*len(d.inProgress) < d.maxInProgress() {
 		return false
 	}
-	running := make(map[string]int, len(d.serviceTimes))
-	for _, run := range d.inProgress {
-		running[run.route]++
-	}
-	demands := d.demand.Demands(now, func(route string) int { return running[route] }, d.baselineServiceTime)
+	demands := d.demand.Demands(now, d.runningByRoute, d.baselineServiceTime)
 	slots := float64(d.maxInProgress())
 	if !share.IsShort(slots, demands) {
 		return false
--- a/internal/core/share/demand.go
+++ b/internal/core/share/demand.go
@@ -1,7 +1,9 @@
 package share
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 )
@@ -46,9 +48,10 @@
 	a.at, a.priority = now, priority
 }
 
-// Demands returns the demand of each route. Running returns how many calls of a route run,
-// and serviceTime how long they take. Routes without calls are removed.
-func (t *Table) Demands(now clock.Milli, running func(route string) int, serviceTime func(route string) clock.Milli) []Demand {
+// Demands returns the demand of each route. Running has the number of running calls by route,
+// and serviceTime returns how long they take. The result is ordered by route. Routes without
+// calls are removed.
+func (t *Table) Demands(now clock.Milli, running map[string]int, serviceTime func(route string) clock.Milli) []Demand {
 	demands := make([]Demand, 0, len(t.routes))
 	for route, a := range t.routes {
 		rate := a.rateAt(now)
@@ -57,7 +60,8 @@
 			continue
 		}
 		load := rate * float64(serviceTime(route)/clock.Second)
-		demands = append(demands, Demand{Route: route, Priority: a.priority, Load: load, Running: running(route)})
+		demands = append(demands, Demand{Route: route, Priority: a.priority, Load: load, Running: running[route]})
 	}
+	slices.SortFunc(demands, func(a, b Demand) int { return cmp.Compare(a.Route, b.Route) })
 	return demands
 }
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -41,7 +41,7 @@
 		table.Observe(ms, "burst", 0)
 	}
 	loadAt := func(now clock.Milli) float64 {
-		demands := table.Demands(now, func(string) int { return 0 }, func(string) clock.Milli { return 50 })
+		demands := table.Demands(now, nil, func(string) clock.Milli { return 50 })
 		if len(demands) == 0 {
 			return 0
 		}
