queue: keep a quarter of its part for the least urgent route

While urgent calls alone exceeded the slots, the least urgent route got 2 of 1,000 calls started, as its floor is less than a slot. The share of its calls that start is now measured, and below a quarter of the share of all calls one of them comes first. The case of TestOrderUnderLoad failed before the change. Not yet measured on a deployment.

--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -176,7 +176,7 @@
 	queued := queuedCall{request: req, seq: d.seq, latestStart: d.latestStart(now, req), latestTimelyStart: d.latestTimelyStart(now, req)}
 	queued.latestLimitedStart = d.latestLimitedStart(now, queued.latestStart, req)
 	position := d.queuePosition(now, queued)
-	if reason := d.lateStartReason(now, position, queued); reason != call.ReasonNone {
+	if reason := d.lateStartReason(now, position, queued); reason != call.ReasonNone && !d.isStarved(now, req.Route) {
 		return append(decisions, d.refuseLate(now, req, reason))
 	}
 	d.queue = slices.Insert(d.queue, position, queued)
@@ -276,6 +276,7 @@
 	d.statedLimit.takeToken(now)
 	d.inProgress[req.ID] = runningCall{route: req.Route, startedAt: now, slowdown: d.currentSlowdown(now)}
 	d.countRunning(req.Route, 1)
+	d.demand.RecordStart(now, req.Route)
 	return admit.Decision{ID: req.ID, Admit: true}
 }
 
--- a/internal/core/queue/load_test.go
+++ b/internal/core/queue/load_test.go
@@ -90,6 +90,8 @@
 	burst.interval = 185
 	urgent := kind{priority: 0, interval: 30, service: 60, soft: 150, maxAge: 400}
 	patient := kind{priority: 2, interval: 20, service: 60, soft: 600, maxAge: 2000}
+	flood := urgent
+	flood.interval = 12
 	tests := map[string]struct {
 		kinds map[string]kind
 		want  map[string]float64
@@ -99,6 +101,8 @@
 		"short and long, nearly full":  {map[string]kind{"short": short, "long": long}, map[string]float64{"short": 0.97, "long": 0.9}, 3.5},
 		"short and long, over the top": {map[string]kind{"short": short, "long": burst}, map[string]float64{"short": 0.9, "long": 0.5}, 3.7},
 		"urgent and patient":           {map[string]kind{"urgent": urgent, "patient": patient}, map[string]float64{"urgent": 0.97, "patient": 0.5}, 3.7},
+		// All get half of what they ask.
+		"urgent flood": {map[string]kind{"flood": flood, "patient": patient}, map[string]float64{"flood": 0.5, "patient": 0.125}, 3.7},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/core/queue/reserve.go
+++ b/internal/core/queue/reserve.go
@@ -23,6 +23,12 @@
 	return len(d.inProgress)+1+share.Reserve(share.Divide(slots, demands), route) > d.maxInProgress()
 }
 
+// isStarved reports whether too few of the route's calls start, compared with others. A cold
+// time is too short for that to matter.
+func (d *Dispatcher) isStarved(now clock.Milli, route string) bool {
+	return d.IsShort(now) && !d.coldLimit.isActive(now) && d.demand.IsStarved(now, route)
+}
+
 // IsShort reports whether the slots do not suffice for the calls that arrive.
 func (d *Dispatcher) IsShort(now clock.Milli) bool {
 	return d.shortAt > 0 && now-d.shortAt < shortageEnd
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -150,10 +150,15 @@
 	return d.coldLimit.hasToken(now) && d.statedLimit.hasToken(now)
 }
 
+// hasRoom reports whether the slots and the rate limits let a call start.
+func (d *Dispatcher) hasRoom(now clock.Milli) bool {
+	return len(d.inProgress) < d.maxInProgress() && d.hasTokens(now)
+}
+
 // canStart reports whether a call may start now. On a slow VM, only a short call that
 // has no other target may.
 func (d *Dispatcher) canStart(now clock.Milli, req admit.Request) bool {
-	if len(d.inProgress) >= d.maxInProgress() || !d.hasTokens(now) || d.exceedsShare(now, req.Route) {
+	if !d.hasRoom(now) || d.exceedsShare(now, req.Route) {
 		return false
 	}
 	if !d.isVMSlow(now) {
@@ -162,13 +167,19 @@
 	return req.MayQueue && clock.Milli(d.vmSlowdown(now)-1)*d.baselineServiceTime(req.Route) <= maxSlowVMDelay
 }
 
-// dispatchQueued admits queued calls that may start, in order. One that may not, because its
-// route has its share, does not hold up those behind it.
+// dispatchQueued admits queued calls that may start, in order, but those of starved routes
+// first. One that may not, because its route has its share, does not hold up those behind it.
 func (d *Dispatcher) dispatchQueued(now clock.Milli, decisions []admit.Decision) []admit.Decision {
 	d.sortQueue(now)
+	decisions = d.dispatchIf(now, decisions, func(r admit.Request) bool { return d.isStarved(now, r.Route) && d.hasRoom(now) && !d.isVMSlow(now) })
+	return d.dispatchIf(now, decisions, func(r admit.Request) bool { return d.canStart(now, r) })
+}
+
+// dispatchIf admits the queued calls for which mayStart reports true when their turn comes.
+func (d *Dispatcher) dispatchIf(now clock.Milli, decisions []admit.Decision, mayStart func(admit.Request) bool) []admit.Decision {
 	kept := d.queue[:0]
 	for _, queued := range d.queue {
-		if d.canStart(now, queued.request) {
+		if mayStart(queued.request) {
 			decisions = append(decisions, d.admit(now, queued.request))
 			continue
 		}
