--- a/internal/core/queue/load_test.go
+++ b/internal/core/queue/load_test.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// Guards against a guard that starts in the middle of a shortage, without measured service
+// times, and serves by arrival until it has them.
+func TestOrderAfterRestart(t *testing.T) {
+	g := NewWithT(t)
+	got, _ := play(queue.New(6), map[string]kind{
+		"urgent":  {priority: 0, interval: 30, service: 60, soft: 150, maxAge: 400},
+		"patient": {priority: 2, interval: 10, service: 60, soft: 600, maxAge: 2000},
+	}, clock.Second)
+	g.Expect(got["urgent"]).To(BeNumerically(">=", 0.9), "%v", got)
+}
+
 // Guards against slots that are kept for a burst after it has ended.
 func TestReleaseAfterBurst(t *testing.T) {
 	g := NewWithT(t)
