--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -172,7 +172,6 @@
 	// A call that is sent elsewhere instead is no demand for the slots here.
 	d.demand.Observe(now, req.Route, req.Priority)
 	d.seq++
-	d.sortQueue(now)
 	queued := queuedCall{request: req, seq: d.seq, latestStart: d.latestStart(now, req), latestTimelyStart: d.latestTimelyStart(now, req)}
 	queued.latestLimitedStart = d.latestLimitedStart(now, queued.latestStart, req)
 	position := d.queuePosition(now, queued)
