--- a/internal/core/call/enums.go
+++ b/internal/core/call/enums.go
@@ -100,5 +100,9 @@
 	ReasonRateLimit                    // rate_limit
 	ReasonCrashes                      // crashes
 	ReasonUnknownKey                   // unknown_key
+<<<<<<< HEAD
 	ReasonRouteShare                   // route_share
+=======
+	ReasonMemory                       // memory
+>>>>>>> origin/main
 )
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -21,6 +21,8 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/health"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
+	"gitlab.com/cranberrytack/cranberrytack/internal/node/duty"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/charge"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/entry"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/guard"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
@@ -48,6 +50,7 @@
 	upstream        *upstream
 	guard           *guard.Guard
 	entry           *entry.Entry
+	gate            *charge.Gate
 	announcer       *announcer
 	links           *links
 	sync            *stateSync
@@ -64,6 +67,9 @@
 	metricsServer   *httpd.Server
 	meter           *meter.Meter
 	lifecycle       lifecycle
+	// usage and usageDuty are nil in a deployment without reports of usage.
+	usage     *usageCounter
+	usageDuty *duty.Runner
 }
 
 // New builds a daemon and opens its listeners. It reads the stored records first, and
@@ -138,13 +144,14 @@
 		checkDone: make(chan struct{}),
 	}
 	n.crashes = newCrashLog(n)
-	n.guard = guard.New(n.self, s.UpstreamAddr, n.clock,
-		guard.WithLogger(n.log), guard.WithAdmitter(n.upstream), guard.WithAdmissionCheck(n.checkAdmission),
+	n.gate = charge.New(int64(callersMemoryShare*float64(s.MemoryBytes)), n.clock, n.log)
+	n.guard = guard.New(n.self, s.UpstreamAddr, n.clock, append(n.usageHooks(previous),
+		guard.WithLogger(n.log), guard.WithGate(n.gate), guard.WithAdmitter(n.upstream), guard.WithAdmissionCheck(n.checkAdmission),
 		guard.WithNoticeHandler(n.upstream.handleNotice), guard.WithProtocol(p.UpstreamProtocol(n.upstream.instance, n.upstream.handleMisdirected)),
 		guard.WithPreAdmissionHook(n.refreshSlowdown), guard.WithIdleTimeout(upstreamIdleTimeout), guard.WithRequestErrorHandler(n.handleRequestError),
-		guard.WithSampleHandler(n.recordUpstream), guard.WithBreakHandler(n.crashes.handleBreak), guard.WithRefusalHandler(n.recordRefusal))
+		guard.WithSampleHandler(n.recordUpstream), guard.WithBreakHandler(n.crashes.handleBreak), guard.WithRefusalHandler(n.recordRefusal))...)
 	n.entry = entry.New(n.self, n.clock, n.pool, n.table, &rules{registry: n.registry, moves: n.moves},
-		entry.WithLogger(n.log), entry.WithProtocol(p.CallerProtocol(n.routes)), entry.WithNoTargetReason(call.ReasonNoTarget),
+		entry.WithLogger(n.log), entry.WithGate(n.gate), entry.WithProtocol(p.CallerProtocol(n.routes)), entry.WithNoTargetReason(call.ReasonNoTarget),
 		entry.WithPicker(newPicker), entry.WithRetrier(n.newRetrier), entry.WithProbeRate(0), entry.WithBodyLimits(maxBufferedBodyBytes, maxInlineBodyBytes),
 		entry.WithSummaryHandler(n.recordCall), entry.WithQuarantine(n.crashes), entry.WithLatestDeadline(n.lifecycle.latestDeadline))
 	self := peers.Record{
@@ -198,10 +205,14 @@
 		link.WithControlHandler(controlShare, n.sync.handleRequest), link.WithControlHandler(controlTallies, n.reporter.handleReport),
 		link.WithControlHandler(controlWatch, n.watch.handleNotice), link.WithControlHandler(controlOrders, n.sync.transfer.handleRequest),
 		link.WithControlHandler(controlCrashes, n.crashes.handleReport))}
+	if n.usage != nil {
+		n.addUsageDuty()
+		link.WithControlHandler(controlUsage, n.usage.handleQuery)(n.peerServer.Server)
+	}
 	link.ShareSessions(n.pool, n.peerServer.Server)
-	pipeline := pipe.New(pipe.WithRepeatable(n.entry.MayRepeat), pipe.WithStopping(n.lifecycle.stopping.Load))
+	pipeline := pipe.New(pipe.WithRepeatable(n.entry.MayRepeat), pipe.WithStopping(n.lifecycle.stopping.Load), pipe.WithRoom(n.gate.ReadAhead))
 	n.callerServer = newServer(alice.New(pipeline.Middleware).Then(n.entry))
-	n.callerServer.Pipeline = pipeline
+	n.callerServer.Pipeline, n.callerServer.Gate = pipeline, n.gate
 	n.controlServer = newServer(p.ControlHandler(n))
 	n.readinessServer = newServer(p.ReadinessHandler(n.checkReady))
 	n.metricsServer = newServer(n.meter)
@@ -240,6 +251,9 @@
 	} {
 		sup.Add(s)
 	}
+	if n.usageDuty != nil {
+		sup.Add(n.usageDuty)
+	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := sup.ServeBackground(runCtx)
--- a/internal/node/mesh/tuning.go
+++ b/internal/node/mesh/tuning.go
@@ -16,6 +16,7 @@
 	controlWatch   = wire.ControlKind_CONTROL_KIND_WATCH
 	controlOrders  = wire.ControlKind_CONTROL_KIND_ORDERS
 	controlCrashes = wire.ControlKind_CONTROL_KIND_CRASHES
+	controlUsage   = wire.ControlKind_CONTROL_KIND_USAGE
 
 	// retryTokensPerCall is the number of retry tokens that a first attempt adds, up
 	// to maxRetryTokens. It keeps the retries of all daemons below a fifth of the
@@ -43,6 +44,11 @@
 	maxBufferedBodyBytes = 512 << 10
 	maxInlineBodyBytes   = 4 << 10
 
+	// callersMemoryShare is the share of the VM's memory that callers and other daemons may
+	// make the daemon hold. The rest is for the program, its state and what the garbage
+	// collector has not collected.
+	callersMemoryShare = 0.2
+
 	// upstreamIdleTimeout is how long an idle connection to the upstream is kept.
 	upstreamIdleTimeout = 4 * clock.Second
 
