--- a/internal/core/call/enums.go
+++ b/internal/core/call/enums.go
@@ -100,9 +100,6 @@
 	ReasonRateLimit                    // rate_limit
 	ReasonCrashes                      // crashes
 	ReasonUnknownKey                   // unknown_key
-<<<<<<< HEAD
-	ReasonRouteShare                   // route_share
-=======
 	ReasonMemory                       // memory
->>>>>>> origin/main
+	ReasonRouteShare                   // route_share
 )
--- a/internal/core/call/reason_string.go
+++ b/internal/core/call/reason_string.go
@@ -61,11 +61,13 @@
 	_ = x[ReasonRateLimit-50]
 	_ = x[ReasonCrashes-51]
 	_ = x[ReasonUnknownKey-52]
+	_ = x[ReasonMemory-53]
+	_ = x[ReasonRouteShare-54]
 }
 
-const _Reason_name = "nonelocal_coollocal_fastestlocal_least_badremote_cheaperremote_onlycentre_outversion_shareonly_targetno_targetprobationexplorationhedgeretryslots_fullqueue_timeoutqueue_fullcoldbackground_shedtransfer_sharedeadlineleavingfencedduplicatewrong_servicedial_failedlink_failedlink_brokenupstream_failedcancelledretry_budgetretried_belowmay_not_repeattoo_deepbad_requestunknown_serviceoverloadejectedversion_brakedconnectionsno_routeno_confignot_readyshedinvalid_answerlowest_costbusyslow_vmheader_too_largebody_too_largerate_limitcrashesunknown_key"
+const _Reason_name = "nonelocal_coollocal_fastestlocal_least_badremote_cheaperremote_onlycentre_outversion_shareonly_targetno_targetprobationexplorationhedgeretryslots_fullqueue_timeoutqueue_fullcoldbackground_shedtransfer_sharedeadlineleavingfencedduplicatewrong_servicedial_failedlink_failedlink_brokenupstream_failedcancelledretry_budgetretried_belowmay_not_repeattoo_deepbad_requestunknown_serviceoverloadejectedversion_brakedconnectionsno_routeno_confignot_readyshedinvalid_answerlowest_costbusyslow_vmheader_too_largebody_too_largerate_limitcrashesunknown_keymemoryroute_share"
 
-var _Reason_index = [...]uint16{0, 4, 14, 27, 42, 56, 67, 77, 90, 101, 110, 119, 130, 135, 140, 150, 163, 173, 177, 192, 206, 214, 221, 227, 236, 249, 260, 271, 282, 297, 306, 318, 331, 345, 353, 364, 379, 387, 394, 408, 419, 427, 436, 445, 449, 463, 474, 478, 485, 501, 515, 525, 532, 543}
+var _Reason_index = [...]uint16{0, 4, 14, 27, 42, 56, 67, 77, 90, 101, 110, 119, 130, 135, 140, 150, 163, 173, 177, 192, 206, 214, 221, 227, 236, 249, 260, 271, 282, 297, 306, 318, 331, 345, 353, 364, 379, 387, 394, 408, 419, 427, 436, 445, 449, 463, 474, 478, 485, 501, 515, 525, 532, 543, 549, 560}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
