--- a/internal/admin/report/clauses.go
+++ b/internal/admin/report/clauses.go
@@ -22,6 +22,7 @@
 	call.ReasonQueueTimeout:   "it had waited too long for a place",
 	call.ReasonQueueFull:      "too many calls were waiting already",
 	call.ReasonCold:           "the server had just started and could not take more yet",
+	call.ReasonRouteShare:     "the servers had too few slots for all requests, and those of its route had their part",
 	call.ReasonCrashes:        "servers had crashed while they ran the same request, so it was held back",
 	call.ReasonMemory:         "the daemon had no memory left for the call",
 	call.ReasonTooLate:        "the server had just started and would have answered after the deadline",
--- a/internal/core/call/enums.go
+++ b/internal/core/call/enums.go
@@ -102,4 +102,5 @@
 	ReasonUnknownKey                   // unknown_key
 	ReasonMemory                       // memory
 	ReasonTooLate                      // too_late
+	ReasonRouteShare                   // route_share
 )
--- a/internal/core/queue/cold.go
+++ b/internal/core/queue/cold.go
@@ -56,10 +56,14 @@
 	return req.SoftDeadline > 0 && now+d.neededTime(now, req.Route) > req.SoftDeadline
 }
 
-// passesQueue reports whether a call in time may start before the queued ones: the room that is
-// left for calls in time must not wait for late ones.
+// passesQueue reports whether a call may start before the queued ones, which can't start now. At
+// a cold upstream, only a call in time may, and none that is less urgent: the room that is left
+// for calls in time must not wait for late ones.
 func (d *Dispatcher) passesQueue(now clock.Milli, req admit.Request) bool {
-	return d.coldLimit.isActive(now) && req.Priority <= d.queue[0].request.Priority && !d.isLate(now, req)
+	if len(d.queue) == 0 || !d.coldLimit.isActive(now) {
+		return true
+	}
+	return req.Priority <= d.queue[0].request.Priority && !d.isLate(now, req)
 }
 
 // endsTooLate reports whether a call that starts now is not expected to end by its deadline.
@@ -138,12 +142,13 @@
 	}
 }
 
-// compareTurns orders queued calls of the same priority.
-func compareTurns(a, b queuedCall) int {
+// compareTurns orders queued calls of the same priority by their turns, and patient ones among
+// each other.
+func compareTurns(a, b *queuedCall) int {
 	if a.turn == turnPatient && b.turn == turnPatient {
 		return cmp.Compare(b.seq, a.seq)
 	}
-	return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.seq, b.seq))
+	return cmp.Compare(a.turn, b.turn)
 }
 
 // coldWait returns the time until a call with the given number of calls ahead of it starts at a
--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -11,6 +11,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/share"
 )
 
 const (
@@ -23,11 +24,11 @@
 	slowdownTTL = 500 * clock.Millisecond
 	// maxQueuedPerSlot limits the queue length, in multiples of the slots.
 	maxQueuedPerSlot = 3
-	// softDeadlineWaitFraction and deadlineWaitFraction are the fractions of the
-	// time until a call's soft deadline and deadline that it may wait. The longer
-	// wait applies.
-	softDeadlineWaitFraction = 0.5
-	deadlineWaitFraction     = 0.3
+	// deadlineWaitFraction is the fraction of the time until its deadline that a call may
+	// wait if it can't end within its soft deadline.
+	deadlineWaitFraction = 0.3
+	// serviceTimeMargin covers calls that take longer than the mean of their route.
+	serviceTimeMargin = 1.5
 	// maxSlowVMDelay is the longest delay by a slow VM for which a call is still
 	// started on it. A VM's slowdown changes after about that time, so waiting is
 	// better if the delay would be longer.
@@ -61,9 +62,12 @@
 	request     admit.Request
 	seq         uint64
 	latestStart clock.Milli
+	// latestTimelyStart is the latest start to end within the soft deadline, zero if the call
+	// has none.
+	latestTimelyStart clock.Milli
 	// latestLimitedStart replaces latestStart while the stated rate limit delays the call.
 	latestLimitedStart clock.Milli
-	// turn orders calls of the same priority.
+	// turn orders calls of the same priority at a cold upstream.
 	turn coldTurn
 }
 
@@ -77,8 +81,13 @@
 	statedLimit statedLimiter
 	returns     returnSchedule
 	inProgress  map[call.ID]runningCall
-	queue       []queuedCall
-	seq         uint64
+	// runningByRoute counts inProgress by route.
+	runningByRoute map[string]int
+	demand         share.Table
+	// shortAt is when the slots last did not suffice for the demand, zero for never.
+	shortAt clock.Milli
+	queue   []queuedCall
+	seq     uint64
 	// serviceTimes and meanServiceTime are the mean service times by route and of all
 	// calls, without slowdown of the VM. meanServiceTime is that of measuredCalls.
 	serviceTimes    map[string]clock.Milli
@@ -86,18 +95,22 @@
 	measuredCalls   int
 	slowdown        float64
 	slowdownAt      clock.Milli
-	routeStats      map[string]*call.RouteStats
-	draining        bool
+	// coldSlowdown is the least slowdown reported while the upstream is cold, zero if none
+	// was: the part of the slowdown that is not the VM's.
+	coldSlowdown float64
+	routeStats   map[string]*call.RouteStats
+	draining     bool
 }
 
 // New returns a dispatcher for an upstream with the given number of slots, at least
 // one.
 func New(slots int) *Dispatcher {
 	return &Dispatcher{
-		slots:        max(1, slots),
-		inProgress:   make(map[call.ID]runningCall),
-		serviceTimes: make(map[string]clock.Milli),
-		routeStats:   make(map[string]*call.RouteStats),
+		slots:          max(1, slots),
+		inProgress:     make(map[call.ID]runningCall),
+		runningByRoute: make(map[string]int),
+		serviceTimes:   make(map[string]clock.Milli),
+		routeStats:     make(map[string]*call.RouteStats),
 	}
 }
 
@@ -106,7 +119,7 @@
 func (d *Dispatcher) Reset(slots int) {
 	d.slots = max(1, slots)
 	d.routeStats = make(map[string]*call.RouteStats)
-	d.slowdown = 0
+	d.slowdown, d.coldSlowdown = 0, 0
 }
 
 // LimitColdRate limits the calls per second until an instant. A rate of zero removes
@@ -120,6 +133,7 @@
 	if load.Slowdown > 0 {
 		d.slowdown, d.slowdownAt = load.Slowdown, now
 	}
+	d.observeColdSlowdown(now, load.Slowdown)
 }
 
 // ObserveNotice applies the rate limit that the upstream states, or ends it.
@@ -149,19 +163,24 @@
 	case d.endsTooLate(now, req):
 		return append(decisions, admit.Decision{ID: req.ID, Reason: call.ReasonTooLate})
 	}
-	if (len(d.queue) == 0 || d.passesQueue(now, req)) && d.canStart(now, req) {
+	// What is left in the queue can't start, so it need not come first.
+	decisions = d.dispatchQueued(now, decisions)
+	if d.passesQueue(now, req) && d.canStart(now, req) {
+		d.demand.Observe(now, req.Route, req.Priority)
 		return append(decisions, d.admit(now, req))
 	}
 	if !req.MayQueue {
 		reason := d.refusalReason(now, req)
 		return append(decisions, admit.Decision{ID: req.ID, Reason: reason, RetryIn: d.rateLimitWait(now, reason)})
 	}
+	// A call that is sent elsewhere instead is no demand for the slots here.
+	d.demand.Observe(now, req.Route, req.Priority)
 	d.seq++
-	queued := queuedCall{request: req, seq: d.seq, latestStart: d.latestStart(now, req)}
+	queued := queuedCall{request: req, seq: d.seq, latestStart: d.latestStart(now, req), latestTimelyStart: d.latestTimelyStart(now, req)}
 	queued.turn = d.coldTurn(now, req)
 	queued.latestLimitedStart = d.latestLimitedStart(now, queued.latestStart, req)
-	position := d.queuePosition(queued)
-	if reason := d.lateStartReason(now, position, queued); reason != call.ReasonNone {
+	position := d.queuePosition(now, queued)
+	if reason := d.lateStartReason(now, position, queued); reason != call.ReasonNone && !d.isStarved(now, req.Route) {
 		return append(decisions, d.refuseLate(now, req, reason))
 	}
 	d.queue = slices.Insert(d.queue, position, queued)
@@ -199,6 +218,7 @@
 		return nil
 	}
 	delete(d.inProgress, id)
+	d.countRunning(run.route, -1)
 	if r.Load != nil {
 		d.ObserveLoad(now, *r.Load)
 	}
@@ -253,57 +273,20 @@
 	return d.dispatchQueued(now, d.expireQueued(now, nil))
 }
 
-// UpstreamState returns the current state of the upstream, without Target and
-// Incarnation.
-func (d *Dispatcher) UpstreamState(now clock.Milli) call.UpstreamState {
-	state := call.UpstreamState{
-		InProgress:   len(d.inProgress),
-		Queued:       len(d.queue),
-		Limit:        d.maxInProgress(),
-		Slots:        d.slots,
-		Latency:      d.meanServiceTime,
-		Cold:         d.coldLimit.isActive(now),
-		Slowdown:     d.currentSlowdown(now),
-		Leaving:      d.draining,
-		AdmitDelay:   min(maxCallInterval, d.statedLimit.waitTime(now, len(d.queue))),
-		CallInterval: d.statedLimit.callInterval(),
-	}
-	if state.Cold {
-		state.Limit = max(1, min(d.maxInProgress(), int(d.coldLimit.bucket.availableTokens(now))))
-	}
-	return state
-}
-
-// RouteStats returns the statistics of each route since the last Reset, in no
-// particular order.
-func (d *Dispatcher) RouteStats(now clock.Milli) []call.RouteStats {
-	for _, stats := range d.routeStats {
-		stats.Running = call.LatencyHistogram{}
-	}
-	for _, run := range d.inProgress {
-		d.statsOf(run.route).Running.Observe(run.serviceTime(now - run.startedAt))
-	}
-	out := make([]call.RouteStats, 0, len(d.routeStats))
-	for _, stats := range d.routeStats {
-		out = append(out, *stats)
-	}
-	return out
-}
-
-func (d *Dispatcher) statsOf(route string) *call.RouteStats {
-	stats := d.routeStats[route]
-	if stats == nil {
-		stats = &call.RouteStats{Route: route}
-		d.routeStats[route] = stats
-	}
-	return stats
-}
-
 func (d *Dispatcher) admit(now clock.Milli, req admit.Request) admit.Decision {
 	_, running := d.inProgress[req.ID]
 	assert.That(!running, assert.AtMostOnce, "id %s admitted while it runs", req.ID)
 	d.coldLimit.takeToken(now)
 	d.statedLimit.takeToken(now)
 	d.inProgress[req.ID] = runningCall{route: req.Route, startedAt: now, slowdown: d.currentSlowdown(now)}
+	d.countRunning(req.Route, 1)
+	d.demand.RecordStart(now, req.Route)
 	return admit.Decision{ID: req.ID, Admit: true}
 }
+
+func (d *Dispatcher) countRunning(route string, change int) {
+	d.runningByRoute[route] += change
+	if d.runningByRoute[route] == 0 {
+		delete(d.runningByRoute, route)
+	}
+}
