--- a/internal/path/header/header.go
+++ b/internal/path/header/header.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
@@ -54,6 +55,25 @@
 	return out
 }
 
+// RemoveHopByHop removes hop-by-hop headers, including those that a Connection header
+// names. A protocol that sets headers of a request calls it first. Otherwise, Encode omits
+// the new headers if the caller's Connection header names them.
+func RemoveHopByHop(h http.Header) {
+	for name := range connectionHeaderNames(h.Values("Connection")) {
+		h.Del(name)
+	}
+	for name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// ConnectionNames reports whether a Connection header names any of the headers, which
+// is not forwarded then. The names are canonical.
+func ConnectionNames(h http.Header, names ...string) bool {
+	connectionHeaders := connectionHeaderNames(h.Values("Connection"))
+	return slices.ContainsFunc(names, func(name string) bool { return connectionHeaders[name] })
+}
+
 // Decode adds headers in wire form to h, except hop-by-hop headers.
 func Decode(h http.Header, in []*wire.Header) {
 	for _, f := range in {
