place: test that a target whose calls fail has no room

The comment of TestNoRoom named the case, but no case had a failed call, and the test passed without the condition on the failure rate. It fails now if the condition is removed.

--- a/internal/core/place/room_test.go
+++ b/internal/core/place/room_test.go
@@ -113,6 +113,7 @@
 // cold, stated to leave, or its calls fail.
 func TestNoRoom(t *testing.T) {
 	tests := map[string]func(s *call.UpstreamState){
+		"failed call":   func(*call.UpstreamState) {},
 		"slow VM":       func(s *call.UpstreamState) { s.Slowdown = 2 },
 		"cold":          func(s *call.UpstreamState) { s.Limit, s.InProgress = 1, 1 },
 		"leaving":       func(s *call.UpstreamState) { s.Leaving = true },
@@ -130,6 +131,9 @@
 			near := newState("near", 0, 1)
 			change(&near)
 			p.Observe(now, near)
+			if name == "failed call" {
+				p.RecordResult(now, "near", call.Result{Outcome: call.OutcomeUnknown, Failed: true})
+			}
 			g.Expect(chosenFraction(p, call.Interactive, "far")).To(BeNumerically("==", 1))
 		})
 	}
