--- a/internal/core/place/room.go
+++ b/internal/core/place/room.go
@@ -12,8 +12,8 @@
 )
 
 // hasRoom reports whether a target is expected to start another call at once and to run it
-// as fast and as reliably as others would. It answers loads that differ between data
-// centres: callers leave their own one only for what does not fit there.
+// as fast and as reliably as others would. Where loads differ between data centres, only
+// calls that do not fit in the caller's own one go to another.
 func (p *Picker) hasRoom(now clock.Milli, t *target) bool {
 	load, limit, slowdown := p.estimateLoad(now, t)
 	switch {
