--- a/internal/core/call/enums.go
+++ b/internal/core/call/enums.go
@@ -100,4 +100,5 @@
 	ReasonRateLimit                    // rate_limit
 	ReasonCrashes                      // crashes
 	ReasonUnknownKey                   // unknown_key
+	ReasonMemory                       // memory
 )
--- a/internal/path/guard/guard.go
+++ b/internal/path/guard/guard.go
@@ -13,6 +13,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/ledger"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/probe"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/charge"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
 )
@@ -47,12 +48,14 @@
 	admissionCheck AdmissionCheck
 	recordSample   func(Sample)
 	onDispatch     func(now clock.Milli, r *call.Request)
+	onNotRun       func(dispatchedAt clock.Milli, r *call.Request)
 	protocol       Protocol
 	onRequestError func(err error)
 	onRefusal      func(r call.Reason)
 	preAdmission   func(ctx context.Context, r *call.Request)
 	onNotice       func(call.Notice)
 	onBreak        func(*call.Request) bool
+	gate           *charge.Gate
 
 	mu               sync.Mutex
 	probeBudget      *probe.UpstreamBudget
@@ -115,6 +118,12 @@
 	return func(g *Guard) { g.onBreak = f }
 }
 
+// WithGate sets the budget to which calls are charged. Without it, nothing bounds what they
+// hold.
+func WithGate(g *charge.Gate) Option {
+	return func(x *Guard) { x.gate = g }
+}
+
 // WithIdleTimeout sets how long an idle connection to the upstream is kept. It must
 // be shorter than the upstream's own idle timeout.
 func WithIdleTimeout(d clock.Milli) Option {
@@ -137,6 +146,12 @@
 	return func(g *Guard) { g.onDispatch = f }
 }
 
+// WithNotRunHook sets a function that runs when the upstream proved not to have run a request
+// that was dispatched to it.
+func WithNotRunHook(f func(dispatchedAt clock.Milli, r *call.Request)) Option {
+	return func(g *Guard) { g.onNotRun = f }
+}
+
 // WithSampleHandler sets the function that receives a sample of each call that was
 // answered or failed at the upstream.
 func WithSampleHandler(f func(Sample)) Option {
@@ -159,12 +174,14 @@
 		admissionCheck:   func(clock.Milli, *call.Request) call.Reason { return call.ReasonNone },
 		recordSample:     func(Sample) {},
 		onDispatch:       func(clock.Milli, *call.Request) {},
+		onNotRun:         func(clock.Milli, *call.Request) {},
 		protocol:         nativeProtocol{},
 		onRequestError:   func(error) {},
 		onRefusal:        func(call.Reason) {},
 		preAdmission:     func(context.Context, *call.Request) {},
 		onNotice:         func(call.Notice) {},
 		onBreak:          func(*call.Request) bool { return false },
+		gate:             charge.New(0, clk, zerolog.Nop()),
 		probeBudget:      probe.NewUpstreamBudget(probe.UpstreamProbesPerWindow),
 		admitter:         admit.New(self.Slots),
 		ledger:           ledger.New(),
