pipe: let a request that was started early be cut off

A caller that pipelines requests and takes no response held its bytes for ever once the budget was at its bound: the writer of a request that was started early had no write deadline, so the end of its account had no effect. The budget counted those bytes as about to be given back, so it closed no other account for them either.

The writer now has a write deadline: in the turn of the request it is that of the connection, before it a deadline in the past ends the call. The new test timed out in both cases before the change and passes with it, as do the other tests of the package with the race detector.

--- a/internal/base/pipe/early.go
+++ b/internal/base/pipe/early.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // earlyCall runs the handler of a request before its turn. It is the handler's
@@ -30,6 +31,14 @@
 	done   bool
 	// panicked is the value with which the handler panicked, nil if it did not.
 	panicked any
+
+	// turnMu protects turn and writeDeadline. A write to the target, which may block, does
+	// not hold it.
+	turnMu sync.Mutex
+	// turn is equal to target.
+	turn http.ResponseWriter
+	// writeDeadline is the one that was set before the turn, zero if none was.
+	writeDeadline time.Time
 }
 
 // startCall starts the handler for m.
@@ -71,6 +80,7 @@
 // respond writes the response to w and waits for the end of the handler.
 func (e *earlyCall) respond(w http.ResponseWriter) {
 	defer e.cancel()
+	e.takeTurn(w)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.target = w
@@ -88,6 +98,31 @@
 	maps.Copy(w.Header(), e.header)
 }
 
+// takeTurn applies to w the write deadline that was set before.
+func (e *earlyCall) takeTurn(w http.ResponseWriter) {
+	e.turnMu.Lock()
+	defer e.turnMu.Unlock()
+	e.turn = w
+	if !e.writeDeadline.IsZero() {
+		_ = http.NewResponseController(w).SetWriteDeadline(e.writeDeadline)
+	}
+}
+
+// SetWriteDeadline is used by http.ResponseController. Before the turn of the request, the
+// connection carries other responses, so a deadline in the past ends only this call.
+func (e *earlyCall) SetWriteDeadline(deadline time.Time) error {
+	e.turnMu.Lock()
+	defer e.turnMu.Unlock()
+	if e.turn != nil {
+		return http.NewResponseController(e.turn).SetWriteDeadline(deadline)
+	}
+	e.writeDeadline = deadline
+	if !deadline.IsZero() && !time.Now().Before(deadline) {
+		e.cancel()
+	}
+	return nil
+}
+
 // sendRecorded sends the head and the recorded body to the target.
 func (e *earlyCall) sendRecorded() {
 	maps.Copy(e.target.Header(), e.sentHeader)
--- a/internal/base/pipe/pipe_test.go
+++ b/internal/base/pipe/pipe_test.go
@@ -32,6 +32,7 @@
 	cancelled atomic.Int32
 	running   atomic.Int32
 	maxRuns   atomic.Int32
+	cut       atomic.Int32
 
 	mu   sync.Mutex
 	runs []string
@@ -79,6 +80,9 @@
 	switch r.URL.Path {
 	case "/abort":
 		panic(http.ErrAbortHandler)
+	case "/cut":
+		f.writeUntilCut(w)
+		return
 	case "/close":
 		w.Header().Set("Connection", "close")
 	case "/large":
@@ -90,6 +94,16 @@
 	_, _ = fmt.Fprintf(w, "%s %s", r.URL.Path, body)
 }
 
+// writeUntilCut writes without end and sets a write deadline in the past meanwhile.
+func (f *fixture) writeUntilCut(w http.ResponseWriter) {
+	time.AfterFunc(300*time.Millisecond, func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0)) })
+	var err error
+	for err == nil {
+		_, err = io.WriteString(w, strings.Repeat("x", 32<<10))
+	}
+	f.cut.Add(1)
+}
+
 func (f *fixture) allRuns() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -283,6 +297,22 @@
 	g.Expect(readBodies(r, 6)).To(Equal([]string{"/a small", "/b ", "/c " + long, "/d ", "/e abc", "/f "}))
 }
 
+// Guards against a caller that takes no response and can't be cut off because its request was
+// started early: what it holds is never given back.
+func TestStartedRequestIsCutOff(t *testing.T) {
+	tests := map[string]string{"in its turn": "/a?ms=50", "before its turn": "/a?ms=5000"}
+	for name, first := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFixture(t)
+			conn, _ := f.dial(t)
+			_, err := io.WriteString(conn, get(first)+get("/cut"))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Eventually(f.cut.Load, "2s").Should(BeNumerically("==", 1))
+		})
+	}
+}
+
 // Guards against callers that send a head slowly and keep their connection, which the
 // server's timeout no longer reaches if the bytes are read ahead.
 func TestHeaderTimeout(t *testing.T) {
