usage: count a guard again after its clock is set back

A guard whose clock was ahead answers for an instant to come. After its correction, the holder ignored its answers until that instant, took the old one as complete for all windows until then, and settled them without the guard's requests. What the guard had counted in windows to come stayed there as well, to be reported when their time came.

An answer with another start of the count now replaces the earlier one, and a guard that corrects its clock drops the windows to come. The new test found a coverage without a gap before the change and passes with it.

--- a/internal/core/usage/collector.go
+++ b/internal/core/usage/collector.go
@@ -48,10 +48,15 @@
 }
 
 // Add records an answer. Answers of one process are cumulative, so the latest one counts; an
-// answer that omits earlier windows keeps them.
+// answer that omits earlier windows keeps them. A guard that has corrected its clock counts
+// since another instant, and nothing that it said before is kept.
 func (c *Collector) Add(a Answer) {
 	key := process{a.Member, a.Incarnation}
 	old, known := c.answers[key]
+	if known && a.Since != old.Since {
+		c.answers[key] = a
+		return
+	}
 	if known && (old.Final || a.Until < old.Until) && !a.Final {
 		return
 	}
--- a/internal/core/usage/counter.go
+++ b/internal/core/usage/counter.go
@@ -50,6 +50,12 @@
 	c.counts[w][workspace] += n
 }
 
+// DropAfter drops the windows that begin after a true time. Those were counted by a clock that
+// was ahead, and their time is still to come.
+func (c *Counter) DropAfter(now clock.Milli) {
+	maps.DeleteFunc(c.counts, func(w int64, _ Counts) bool { return clock.Milli(w)*c.length > now })
+}
+
 // From returns the windows from first on that have counts, in order.
 func (c *Counter) From(first int64) []Window {
 	var out []Window
--- a/internal/core/usage/usage_test.go
+++ b/internal/core/usage/usage_test.go
@@ -65,6 +65,25 @@
 	}
 }
 
+// Guards against a guard whose clock was ahead: its answers after the correction must count,
+// and what it counted before in windows to come must not.
+func TestClockSetBack(t *testing.T) {
+	g := NewWithT(t)
+	counter := usage.NewCounter(length, 5)
+	counter.Add(at(3600), "w", 9)
+	counter.DropAfter(at(1))
+	counter.Add(at(2), "w", 3)
+	g.Expect(counter.From(0)).To(Equal(window(3)))
+
+	c := usage.NewCollector(length)
+	c.Linked(at(1), []string{"a"})
+	c.Add(usage.Answer{Member: "a", Incarnation: 1, Since: at(3500), Until: at(3600), Windows: []usage.Window{{Index: 729, Counts: usage.Counts{"w": 9}}}})
+	c.Add(usage.Answer{Member: "a", Incarnation: 1, Since: at(1), Until: at(6), Succeeds: true, Windows: window(3)})
+	g.Expect(c.Coverage(10).Missing).To(BeNumerically("~", 0.2, 1e-9))
+	g.Expect(c.Total(10)).To(Equal(usage.Counts{"w": 3}))
+	g.Expect(c.Total(729)).To(BeEmpty())
+}
+
 // Guards against a window that is settled with too little, or again after a restore of the
 // store, and against a report that is sent without settled counts.
 func TestDecide(t *testing.T) {
--- a/internal/node/mesh/usagecounter.go
+++ b/internal/node/mesh/usagecounter.go
@@ -78,6 +78,7 @@
 	if d := correction - c.correction; d > maxClockError || d < -maxClockError {
 		c.correction = correction
 		c.since = c.trueTimeLocked()
+		c.counter.DropAfter(c.since)
 		c.identity.Succeeds = true
 	}
 }
