mesh: let the holder of the usage duty go on after its clock is set back

A holder whose clock was ahead asked no guard and reported no window until the instant that its clock had shown, and daemons that were linked then counted as linked until it. It now begins its tenure again if the time goes back by more than a window. It also kept an entry for each window for as long as it was the holder; it now drops those that are long over.

Both new tests failed before the change (first window an hour ahead, 602 entries after 200 windows) and pass with it and the race detector.

--- a/internal/node/mesh/usagepuller.go
+++ b/internal/node/mesh/usagepuller.go
@@ -48,6 +48,13 @@
 	p.lastRound, p.lastRetry = 0, 0
 }
 
+// reset drops all counts, and when members were linked.
+func (p *usagePuller) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.collector = usage.NewCollector(p.settings.Timing.Length)
+}
+
 // step asks guards for the windows from first on if that is due.
 func (p *usagePuller) step(ctx context.Context, now clock.Milli, first int64) {
 	linked := p.linkedIDs()
--- a/internal/node/mesh/usagereporter.go
+++ b/internal/node/mesh/usagereporter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"strconv"
 	"sync"
 
@@ -48,6 +49,8 @@
 	done map[int64]bool
 	// stored has the windows that were seen to be settled.
 	stored map[int64]bool
+	// steppedAt is the true time of the last step.
+	steppedAt clock.Milli
 
 	mu sync.Mutex
 	// sending is set while a report is sent. accepted has the windows whose report was accepted.
@@ -71,6 +74,14 @@
 func (u *usageReporter) Step(ctx context.Context) {
 	now := u.counter.trueTime()
 	t := u.settings.Timing
+	if now < u.steppedAt-t.Length {
+		// The clock was ahead, so what was recorded at instants to come is void.
+		u.earliest = 0
+		u.puller.reset()
+		u.Begin()
+	}
+	u.steppedAt = now
+	u.expire(t.First(now) - settledKeys)
 	u.puller.step(ctx, now, max(u.first, t.First(now)-1))
 	for w := max(u.first, t.First(now)-settledKeys/2); t.Start(w+1) <= now; w++ {
 		if !u.done[w] {
@@ -79,6 +90,15 @@
 	}
 }
 
+// expire drops what is recorded of the windows before first.
+func (u *usageReporter) expire(first int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, windows := range []map[int64]bool{u.done, u.stored, u.accepted} {
+		maps.DeleteFunc(windows, func(w int64, _ bool) bool { return w < first })
+	}
+}
+
 // decide does what is due about one window.
 func (u *usageReporter) decide(ctx context.Context, now clock.Milli, window int64) {
 	settled, ok := u.settled(window)
