entry: let the account of a response end during a flush

A response of unknown length is flushed after each piece, and with small pieces only the flush waits for the caller. The account counted as waiting for nobody meanwhile, so a caller that took nothing kept the window of its response while others were refused. The flush now counts like the write.

The new test was refused the room before the change and gets it with it; the tests of the package pass with the race detector.

--- a/internal/path/entry/memory_test.go
+++ b/internal/path/entry/memory_test.go
@@ -3,17 +3,22 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/bench/inproc"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/memory"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/charge"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/entry"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 )
 
 // Guards against a request that is refused as not run for lack of memory and runs, against
@@ -60,3 +65,44 @@
 		})
 	}
 }
+
+// stalledWriter is a caller for which flushes wait until a write deadline is set.
+type stalledWriter struct {
+	*httptest.ResponseRecorder
+	cut chan struct{}
+}
+
+func (w *stalledWriter) FlushError() error {
+	<-w.cut
+	return os.ErrDeadlineExceeded
+}
+
+func (w *stalledWriter) SetWriteDeadline(time.Time) error {
+	close(w.cut)
+	return nil
+}
+
+// Guards against a caller that takes a response of small pieces too slowly and keeps its room,
+// as only flushes wait for it.
+func TestStalledFlushIsCutOff(t *testing.T) {
+	g := NewWithT(t)
+	const limit = 1 << 20
+	gate := charge.New(limit, clock.NewReal(), zerolog.Nop())
+	harness := inproc.New(t, entry.WithGate(gate))
+	harness.AddNode(inproc.NodeSpec{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "piece")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})})
+	done := make(chan any, 1)
+	go func() {
+		defer func() { done <- recover() }()
+		w := &stalledWriter{httptest.NewRecorder(), make(chan struct{})}
+		harness.Entry.ServeHTTP(w, harness.Request(http.MethodGet, "/", nil, header.TimeoutMs, "10000"))
+	}()
+	time.Sleep(1500 * time.Millisecond)
+	other := gate.Open("other", func() {})
+	defer other.Close()
+	g.Expect(other.Take(t.Context(), memory.Body, limit/2)).To(BeTrue())
+	g.Expect(<-done).To(Equal(http.ErrAbortHandler))
+}
--- a/internal/path/entry/response.go
+++ b/internal/path/entry/response.go
@@ -40,7 +40,6 @@
 // response was truncated, or ReasonNone if it is complete.
 func (a *attempt) copyBody() (*wire.ReplyEnd, call.Reason) {
 	runner := a.runner
-	rc := http.NewResponseController(runner.respWriter)
 	contentLength := a.head.GetContentLength()
 	var received int64
 	if !a.reserveResponse() {
@@ -56,12 +55,9 @@
 			if contentLength >= 0 && received > contentLength {
 				return nil, call.ReasonUpstreamFailed
 			}
-			if err := a.write(c.GetData()); err != nil {
+			if err := a.write(c.GetData(), contentLength < 0); err != nil {
 				return nil, call.ReasonCancelled
 			}
-			if contentLength < 0 {
-				_ = rc.Flush()
-			}
 			continue
 		}
 		end := f.GetReplyEnd()
@@ -89,11 +85,16 @@
 	return runner.account.Take(runner.httpReq.Context(), memory.Response, n)
 }
 
-// write writes a part of the response to the caller, who has to take it.
-func (a *attempt) write(data []byte) error {
+// write writes a part of the response to the caller, who has to take it. A flush may wait for
+// the caller, too.
+func (a *attempt) write(data []byte, flush bool) error {
 	account := a.runner.account
 	account.Expect(len(data))
 	_, err := a.runner.respWriter.Write(data)
+	if err == nil && flush {
+		// A failed flush ends the connection, which the next write reports.
+		_ = http.NewResponseController(a.runner.respWriter).Flush()
+	}
 	account.Attend(false)
 	if err == nil && account.Ended() {
 		// The writes of a later request on the connection would fail, too.
