memory: tell the share of an address from what others wait for

The bytes for which all callers wait counted as those of the address that asked, so that together they seemed to exceed the share of one address. Only accounts of that address were then closed, and the waiters were refused although others had stalled. What others wait for now only counts against the whole.

The new test found both waiters refused before the change; it passes with it, as do the tests of both packages with the race detector.

--- a/internal/core/memory/budget.go
+++ b/internal/core/memory/budget.go
@@ -192,15 +192,18 @@
 }
 
 // Reclaim marks accounts to be closed, so that an account that got no room for n bytes gets
-// it: those that hold most for longest without progress first. If the account's address has
-// its whole share, it returns accounts of that address only.
-func (b *Budget) Reclaim(now clock.Milli, a *Account, c Cause, n int64) []*Account {
+// it besides others that wait for some more: those that hold most for longest without progress
+// first. If the account's address has its whole share, it returns accounts of that address only.
+func (b *Budget) Reclaim(now clock.Milli, a *Account, c Cause, n, others int64) []*Account {
 	missing := b.missing(a, c, n) - b.closing
+	bulk := c == Body || c == Response
+	ownOnly := bulk && b.missingOfAddress(a, n) > 0
+	if !ownOnly {
+		missing += others
+	}
 	if missing <= 0 {
 		return nil
 	}
-	bulk := c == Body || c == Response
-	ownOnly := bulk && b.missingOfAddress(a, n) > 0
 	var closed []*Account
 	for _, v := range b.stalled(now, a, bulk, ownOnly) {
 		v.closing = true
--- a/internal/core/memory/budget_test.go
+++ b/internal/core/memory/budget_test.go
@@ -31,7 +31,7 @@
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0, 1:
 				if !b.Take(open[i], cause, n) {
-					for _, victim := range b.Reclaim(now, open[i], cause, n) {
+					for _, victim := range b.Reclaim(now, open[i], cause, n, 0) {
 						if victim.StalledFor(now) < clock.Second {
 							t.Fatal("an account that progresses is closed")
 						}
@@ -99,7 +99,7 @@
 			}
 			caller := b.Open(4000, "caller")
 			g.Expect(b.Take(caller, memory.Body, 200)).To(BeFalse())
-			g.Expect(b.Reclaim(4000, caller, memory.Body, 200)).To(HaveLen(tt.closed))
+			g.Expect(b.Reclaim(4000, caller, memory.Body, 200, 0)).To(HaveLen(tt.closed))
 			g.Expect(b.Take(caller, memory.Call, 200)).To(BeTrue(), "short calls have room")
 		})
 	}
--- a/internal/path/charge/gate.go
+++ b/internal/path/charge/gate.go
@@ -127,7 +127,7 @@
 	if (c != memory.Body || len(g.waiters) == 0) && g.budget.Take(a, c, n) {
 		return nil
 	}
-	g.reclaim(a, c, n)
+	g.reclaim(a, c, n, g.waitingFor(c))
 	w := &waiter{account: a, cause: c, bytes: n, granted: make(chan struct{})}
 	if c == memory.Response && float64(g.waitingFor(c)+n) > maxWaitingResponses*float64(g.budget.Limit()) {
 		g.counts[c].Refused++
@@ -149,15 +149,15 @@
 	return n
 }
 
-// reclaim closes accounts to make room for n bytes and for all that wait for the cause. The
-// caller holds the lock.
-func (g *Gate) reclaim(a *memory.Account, c memory.Cause, n int64) {
+// reclaim closes accounts to make room for n bytes and for what others wait for. The caller
+// holds the lock.
+func (g *Gate) reclaim(a *memory.Account, c memory.Cause, n, others int64) {
 	now := g.clock.Now()
 	if now-g.reclaimedAt < reclaimPause {
 		return
 	}
 	g.reclaimedAt = now
-	for _, v := range g.budget.Reclaim(now, a, c, n+g.waitingFor(c)) {
+	for _, v := range g.budget.Reclaim(now, a, c, n, others) {
 		g.counts[c].Closed++
 		g.log.Info().Str("caller", v.Address).Int64("bytes", v.Held()).Float64("stalled_ms", float64(v.StalledFor(now))).
 			Str("reason", "no_progress").Str("room_for", c.String()).Msg("caller_closed")
@@ -195,7 +195,7 @@
 	defer g.mu.Unlock()
 	g.grant()
 	if slices.Contains(g.waiters, w) {
-		g.reclaim(w.account, w.cause, 0)
+		g.reclaim(w.account, w.cause, w.bytes, g.waitingFor(w.cause)-w.bytes)
 	}
 }
 
@@ -221,7 +221,7 @@
 		return true
 	}
 	g.counts[c].Refused++
-	g.reclaim(a, c, n)
+	g.reclaim(a, c, n, g.waitingFor(c))
 	return false
 }
 
--- a/internal/path/charge/gate_test.go
+++ b/internal/path/charge/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -60,3 +61,22 @@
 	holder.Give(memory.Body, limit/8)
 	g.Expect(<-granted).To(BeTrue())
 }
+
+// Guards against waiters of different addresses that together want more than the share of one,
+// and are therefore refused although others have stalled.
+func TestWaitersAreNotOneAddress(t *testing.T) {
+	g := NewWithT(t)
+	gate := charge.New(limit, clock.NewReal(), zerolog.Nop())
+	for i := range 6 {
+		var holder *charge.Account
+		holder = gate.Open(strconv.Itoa(i), func() { holder.Close() })
+		g.Expect(holder.TryTake(memory.Body, limit/8)).To(BeTrue())
+		holder.Expect(0)
+	}
+	time.Sleep(700 * time.Millisecond)
+	granted := make(chan bool, 2)
+	for address, n := range map[string]int64{"x": limit / 2, "y": limit * 3 / 8} {
+		go func() { granted <- gate.Open(address, func() {}).Take(context.Background(), memory.Body, n) }()
+	}
+	g.Expect([]bool{<-granted, <-granted}).To(Equal([]bool{true, true}))
+}
