charge: hold no body up for an address that has its share

A response that waits only until its own address gives bytes back kept the bodies of all other callers waiting for two seconds, so that they were refused although an eighth of the bound was free for them. Bodies now wait only behind those that lack room in the whole.

The new test was refused before the change and passes with it, as do the tests of both packages with the race detector.

--- a/internal/core/memory/budget.go
+++ b/internal/core/memory/budget.go
@@ -191,13 +191,19 @@
 	return b.byAddress[a.Address] + n - int64(addressShare*float64(b.limit))
 }
 
+// IsConfined reports whether the account's address has its share, so that only bytes that the
+// address gives back are room for n more.
+func (b *Budget) IsConfined(a *Account, c Cause, n int64) bool {
+	return (c == Body || c == Response) && b.missingOfAddress(a, n) > 0
+}
+
 // Reclaim marks accounts to be closed, so that an account that got no room for n bytes gets
 // it besides others that wait for some more: those that hold most for longest without progress
 // first. If the account's address has its whole share, it returns accounts of that address only.
 func (b *Budget) Reclaim(now clock.Milli, a *Account, c Cause, n, others int64) []*Account {
 	missing := b.missing(a, c, n) - b.closing
 	bulk := c == Body || c == Response
-	ownOnly := bulk && b.missingOfAddress(a, n) > 0
+	ownOnly := b.IsConfined(a, c, n)
 	if !ownOnly {
 		missing += others
 	}
--- a/internal/path/charge/gate.go
+++ b/internal/path/charge/gate.go
@@ -124,7 +124,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	// A body does not overtake those that wait, such as a larger response.
-	if (c != memory.Body || len(g.waiters) == 0) && g.budget.Take(a, c, n) {
+	if (c != memory.Body || !slices.ContainsFunc(g.waiters, g.holdsBodies)) && g.budget.Take(a, c, n) {
 		return nil
 	}
 	g.reclaim(a, c, n, g.waitingFor(c))
@@ -230,11 +230,17 @@
 // caller holds the lock.
 func (g *Gate) grant() {
 	g.grantIf(func(c memory.Cause) bool { return c != memory.Body })
-	if !slices.ContainsFunc(g.waiters, func(w *waiter) bool { return w.cause == memory.Response }) {
+	if !slices.ContainsFunc(g.waiters, func(w *waiter) bool { return w.cause == memory.Response && g.holdsBodies(w) }) {
 		g.grantIf(func(c memory.Cause) bool { return c == memory.Body })
 	}
 }
 
+// holdsBodies reports whether bodies that came later wait behind w. They do not if w waits for
+// its own address only. The caller holds the lock.
+func (g *Gate) holdsBodies(w *waiter) bool {
+	return !g.budget.IsConfined(w.account, w.cause, w.bytes)
+}
+
 // grantIf is grant for the waiters of some causes.
 func (g *Gate) grantIf(matches func(memory.Cause) bool) {
 	g.waiters = slices.DeleteFunc(g.waiters, func(w *waiter) bool {
--- a/internal/path/charge/gate_test.go
+++ b/internal/path/charge/gate_test.go
@@ -80,3 +80,16 @@
 	}
 	g.Expect([]bool{<-granted, <-granted}).To(Equal([]bool{true, true}))
 }
+
+// Guards against an address with its whole share whose waiting response keeps the bodies of
+// others from the room that is left for them.
+func TestFullAddressHoldsNobodyUp(t *testing.T) {
+	g := NewWithT(t)
+	gate := charge.New(limit, clock.NewReal(), zerolog.Nop())
+	g.Expect(gate.Open("full", func() {}).TryTake(memory.Body, limit*3/4)).To(BeTrue())
+	refused := make(chan bool, 1)
+	go func() { refused <- gate.Open("full", func() {}).Take(context.Background(), memory.Response, limit/16) }()
+	time.Sleep(50 * time.Millisecond)
+	g.Expect(gate.Open("other", func() {}).Take(t.Context(), memory.Body, limit/16)).To(BeTrue())
+	g.Expect(<-refused).To(BeFalse())
+}
