Explain the states of leases and windows, and name the shares of a lease

The doc comment of Propose had a broken line and did not say when it reports false. Verdicts and several fields of the lease had no comment. readAt always equalled confirmedAt and is removed. The parts of the lease time in the decisions are named constants. No change of behaviour.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -13,6 +13,17 @@
 // retryDelay is the time between a failed call to the store and the next one.
 const retryDelay = 200 * clock.Millisecond
 
+const (
+	// permitShare is the share of the lease within which a holder sends after a confirmation.
+	permitShare = 1.0 / 2
+	// rankDelayShare is the share of the lease by which each candidate takes over later than
+	// the one before it.
+	rankDelayShare = 1.0 / 3
+	// maxReadShare is the share of the takeover time for which a read waits at most, so that
+	// the log is seen to be unchanged in time.
+	maxReadShare = 1.0 / 2
+)
+
 // Timing has the times of a lease.
 type Timing struct {
 	// Lease limits how soon the calls of two holders follow each other: a holder sends within
@@ -41,21 +52,25 @@
 	doubtful bool
 	// mismatched is set after an append that the store refused because of its position.
 	mismatched bool
-	proposals  []feed.Item
-	confirm    bool
-	// confirmedAt is the start of the latest call that showed that the log ends at end.
+	// proposals are the items to append after pending.
+	proposals []feed.Item
+	// confirm is set while the holder needs a read to get a permit.
+	confirm bool
+	// confirmedAt is the start of the latest successful call, which showed that the log ends
+	// at end.
 	confirmedAt clock.Milli
-	// changedAt is when a change of the log was last seen, readAt the start of the latest
-	// successful read. failed is set after a failed read.
+	// changedAt is when a change of the log was last seen.
 	changedAt clock.Milli
-	readAt    clock.Milli
 	// writtenAt is the start of the latest append.
 	writtenAt clock.Milli
-	failed    bool
-	retryAt   clock.Milli
-	// sendAfter is when this daemon may first send with heldToken.
-	sendAfter    clock.Milli
-	heldToken    int64
+	// failed is set while the latest call failed. No further call is due before retryAt.
+	failed  bool
+	retryAt clock.Milli
+	// sendAfter is when this daemon may first send with heldToken, the token of its latest
+	// lease.
+	sendAfter clock.Milli
+	heldToken int64
+	// highestToken is the highest token that this or another daemon has seen.
 	highestToken int64
 }
 
@@ -82,7 +97,7 @@
 
 // Permit returns the permission to send, and whether there is one.
 func (c *Core) Permit(now clock.Milli) (Permit, bool) {
-	p := Permit{Token: c.record.Token, Until: c.confirmedAt + c.timing.Lease/2}
+	p := Permit{Token: c.record.Token, Until: c.confirmedAt + permitShare*c.timing.Lease}
 	return p, c.Held() && now >= c.sendAfter && now < p.Until
 }
 
@@ -92,8 +107,8 @@
 	c.confirm = !ok && now >= c.sendAfter
 }
 
-// Propose schedules the append of an entry while this daemon is the holder. An entry is in
-// force once Entry returns it.
+// Propose schedules the append of an entry while this daemon is the holder. Entry returns it
+// once it is stored.
 func (c *Core) Propose(key string, body []byte) {
 	c.proposals = append(c.proposals, feed.Item{Key: key, Value: encode(entry{Era: c.end.Era(), Body: body})})
 }
@@ -181,7 +196,7 @@
 
 func (c *Core) recordCall(startedAt clock.Milli) {
 	c.failed, c.mismatched, c.confirm, c.retryAt = false, false, false, 0
-	c.confirmedAt, c.readAt = startedAt, startedAt
+	c.confirmedAt = startedAt
 }
 
 // applyLease applies the lease record in the log. A malformed one counts as none.
--- a/internal/core/lease/record.go
+++ b/internal/core/lease/record.go
@@ -27,7 +27,8 @@
 	Since clock.Milli `json:"since,omitempty"`
 }
 
-// entry is the stored form of what the work of a duty appends.
+// entry is the stored form of an entry that the work of a duty appends. It is void in another
+// era, as a lease record is.
 type entry struct {
 	Era  int64           `json:"era,omitempty"`
 	Body json.RawMessage `json:"body"`
--- a/internal/core/lease/step.go
+++ b/internal/core/lease/step.go
@@ -58,7 +58,7 @@
 		return Step{}
 	}
 	wait := c.changedAt + c.takeoverAfter(s.Rank) - now
-	return Step{Action: ActionRead, At: c.end, Wait: max(0, min(wait, c.timing.Takeover/2))}
+	return Step{Action: ActionRead, At: c.end, Wait: max(0, min(wait, maxReadShare*c.timing.Takeover))}
 }
 
 // nextAppend returns the item to append, nil if none is due.
@@ -95,13 +95,13 @@
 
 // isUnchanged reports whether the log did not change for so long that its holder has failed.
 func (c *Core) isUnchanged(rank int) bool {
-	return c.readAt-c.changedAt >= c.takeoverAfter(rank)
+	return c.confirmedAt-c.changedAt >= c.takeoverAfter(rank)
 }
 
 // takeoverAfter is how long the log stays unchanged before a candidate takes over. Later
 // candidates leave time to earlier ones.
 func (c *Core) takeoverAfter(rank int) clock.Milli {
-	return c.timing.Takeover + clock.Milli(rank)*c.timing.Lease/3
+	return c.timing.Takeover + clock.Milli(rank)*rankDelayShare*c.timing.Lease
 }
 
 // takeover returns the lease record with which this daemon takes over.
--- a/internal/core/memory/budget.go
+++ b/internal/core/memory/budget.go
@@ -38,8 +38,8 @@
 	// minRate is the rate in bytes a second below which a caller makes no progress: a
 	// body of 512 KiB would take over half a minute.
 	minRate = 16 << 10
-	// stallGrace is how long an account may lag behind minRate before it may be closed,
-	// more than a lost packet takes to be repeated.
+	// stallGrace is how long an account may lag behind minRate before it may be closed. It
+	// is longer than the retransmission of a lost packet takes.
 	stallGrace = clock.Second
 )
 
--- a/internal/core/queue/cold.go
+++ b/internal/core/queue/cold.go
@@ -25,6 +25,9 @@
 	// neededTimeFactor is the ratio of the time within which most calls of a route end to
 	// their mean service time.
 	neededTimeFactor = 1.2
+	// patientTimeFactor is the ratio of the time that a call must have left after the cold
+	// start, to wait for that, to the mean service time of its route.
+	patientTimeFactor = 2
 )
 
 // SetColdSlack sets the number of calls beyond the cold rate that are tolerated in one second.
@@ -57,8 +60,8 @@
 }
 
 // passesQueue reports whether a call may start before the queued ones, which can't start now. At
-// a cold upstream, only a call in time may, and none that is less urgent: the room that is left
-// for calls in time must not wait for late ones.
+// a cold upstream, only a call that is in time and at least as urgent as the first queued one
+// may: the room that is left for calls in time must not wait for late ones.
 func (d *Dispatcher) passesQueue(now clock.Milli, req admit.Request) bool {
 	if len(d.queue) == 0 || !d.coldLimit.isActive(now) {
 		return true
@@ -66,10 +69,10 @@
 	return req.Priority <= d.queue[0].request.Priority && !d.isLate(now, req)
 }
 
-// endsTooLate reports whether a call that starts now is not expected to end by its deadline.
-// It answers the load of callers who repeat while the upstreams are cold: each start uses up a
-// part of the cold rate that a call with more time left needs. A warm upstream starts such a
-// call, as the expected time is a mean and its room may be free.
+// endsTooLate reports whether a cold upstream is not expected to end a call that starts now by
+// its deadline. Callers repeat such calls, and each start uses a part of the cold rate that a
+// call with more time left needs. A warm upstream starts them, as the expected time is a mean
+// and slots may be free.
 func (d *Dispatcher) endsTooLate(now clock.Milli, req admit.Request) bool {
 	return d.coldLimit.isActive(now) && now+d.neededTime(now, req.Route) > req.Deadline
 }
@@ -111,7 +114,7 @@
 		return false
 	}
 	serviceTime := d.baselineServiceTime(req.Route)
-	return d.coldLimit.until+coldSpareTime+2*serviceTime < req.Deadline
+	return d.coldLimit.until+coldSpareTime+patientTimeFactor*serviceTime < req.Deadline
 }
 
 // coldTurn is the turn of a call among those of its priority that wait at a cold upstream. A
--- a/internal/core/queue/coldlimiter.go
+++ b/internal/core/queue/coldlimiter.go
@@ -2,8 +2,8 @@
 
 import "gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 
-// coldBurst is the number of calls that a cold upstream may receive in a burst when it
-// becomes cold, and at least later.
+// coldBurst is the number of calls that an upstream may receive in a burst when it becomes
+// cold. It is also the least capacity of the token bucket afterwards.
 const coldBurst = 2
 
 // coldLimiter is a token bucket that limits the rate of calls to a cold upstream.
--- a/internal/core/queue/order.go
+++ b/internal/core/queue/order.go
@@ -18,10 +18,10 @@
 	return position
 }
 
-// compareQueued orders calls by priority, then by their turns at a cold upstream. Among equals, those come first that can still end
-// within their soft deadline, by the latest start at which they do, as one that is late
-// already loses less by waiting. The others, and calls without a soft deadline, are ordered
-// by arrival.
+// compareQueued orders calls by priority, then by their turns at a cold upstream. Among equals,
+// those that can still end within their soft deadline come first, by the latest start at which
+// they do: a call that is late already loses less by waiting. The others, and calls without a
+// soft deadline, are ordered by arrival.
 func compareQueued(now clock.Milli, a, b *queuedCall) int {
 	timelyA, timelyB := now <= a.latestTimelyStart, now <= b.latestTimelyStart
 	switch {
--- a/internal/core/usage/book.go
+++ b/internal/core/usage/book.go
@@ -30,11 +30,16 @@
 
 // The verdicts.
 const (
-	VerdictWait   Verdict = iota // wait
-	VerdictSettle                // settle
-	VerdictSend                  // send
-	VerdictMiss                  // miss
-	VerdictDone                  // done
+	// VerdictWait leaves the window until the next decision.
+	VerdictWait Verdict = iota // wait
+	// VerdictSettle stores the counts of the window in the log of the duty.
+	VerdictSettle // settle
+	// VerdictSend reports the stored counts to the platform.
+	VerdictSend // send
+	// VerdictMiss ends the window without a report.
+	VerdictMiss // miss
+	// VerdictDone ends the window, which was reported or had no guards.
+	VerdictDone // done
 )
 
 //go:generate ../../../bin/stringer -type Reason -linecomment -output reason_string.go
@@ -51,7 +56,7 @@
 	ReasonNotAccepted                 // not_accepted
 )
 
-// State is what is known of a window.
+// State is the state of a window at the holder.
 type State struct {
 	// Settled is set if the log has the counts of the window.
 	Settled bool
--- a/internal/core/usage/collector.go
+++ b/internal/core/usage/collector.go
@@ -142,8 +142,8 @@
 	return out
 }
 
-// coveredTime returns how long a member should have counted between two instants, and for
-// how much of that answers of its processes vouch.
+// coveredTime returns how long a member should have counted between two instants, and how
+// much of that time the answers of its processes cover.
 func coveredTime(start, end clock.Milli, answers []Answer) (expected, covered clock.Milli) {
 	if len(answers) == 0 {
 		return end - start, 0
--- a/internal/node/duty/runner.go
+++ b/internal/node/duty/runner.go
@@ -185,9 +185,9 @@
 	r.core.NoteToken(token)
 }
 
-// Propose appends an entry of the work to the log and reports true, unless an append is in
-// progress. Entry
-// returns it once it is stored.
+// Propose schedules the append of an entry of the work to the log. It reports false if this
+// daemon is not the holder or another append is in progress. Entry returns the entry once it
+// is stored.
 func (r *Runner) Propose(key string, body []byte) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/node/mesh/usagecounter.go
+++ b/internal/node/mesh/usagecounter.go
@@ -45,8 +45,8 @@
 	holder string
 }
 
-// newUsageCounter returns the counter of a node. A daemon with a predecessor, another process
-// at the same address, can't vouch for the time before its start.
+// newUsageCounter returns the counter of a node. With a predecessor, an earlier process at the
+// same address, requests before the start of this one may be missing from its counts.
 func newUsageCounter(n *Node, hasPredecessor bool) *usageCounter {
 	t := n.settings.Usage.Timing
 	c := &usageCounter{
