--- a/internal/path/entry/call_runner.go
+++ b/internal/path/entry/call_runner.go
@@ -5,11 +5,8 @@
 	"net/http"
 	"slices"
 
-	"github.com/pkg/errors"
-
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
-	"gitlab.com/cranberrytack/cranberrytack/internal/core/memory"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/pick"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/retry"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/charge"
@@ -23,7 +20,7 @@
 // refusal was temporary may wait in the queue of a guard.
 const refusalsBeforeQueueing = 3
 
-// callRunner runs the attempts of one call sequentially, apart from hedges.
+// callRunner runs the attempts of one call sequentially, except hedges.
 type callRunner struct {
 	entry      *Entry
 	service    *service
@@ -75,49 +72,6 @@
 	}
 }
 
-// openAccount opens the account of the call. The returned function closes it.
-func (r *callRunner) openAccount() func() {
-	r.cutOff = &cutOff{writer: r.respWriter}
-	account, done := r.entry.gate.OpenCall(r.httpReq.Context(), r.cutOff.run)
-	r.account = account
-	return func() {
-		r.cutOff.end()
-		done()
-	}
-}
-
-// receiveBody reads the body of the request, or the part of it that is read before the first
-// attempt. It returns the reason to refuse the request, which has not run.
-func (r *callRunner) receiveBody(ctx context.Context) call.Reason {
-	if !r.account.Take(ctx, memory.Call, charge.CallBytes+headBytes(r.httpReq.Header)) {
-		r.respWriter.Header().Set("Connection", "close")
-		return call.ReasonMemory
-	}
-	var err error
-	r.body, err = readBody(r.httpReq, r.entry.maxBufferedBytes, r.account)
-	switch {
-	case r.account.Ended() || errors.Is(err, errNoRoom):
-		r.respWriter.Header().Set("Connection", "close")
-		return call.ReasonMemory
-	case err != nil:
-		return call.ReasonBadRequest
-	default:
-		return call.ReasonNone
-	}
-}
-
-// headBytes returns the size of the headers, which the call and its message to the guard
-// each hold.
-func headBytes(h http.Header) int64 {
-	n := 0
-	for name, values := range h {
-		for _, v := range values {
-			n += len(name) + len(v)
-		}
-	}
-	return int64(2 * n)
-}
-
 // runAttempt runs one attempt and its hedge, if any. It returns the result and
 // whether the call is retried. Ended says that a response or an error was sent to
 // the caller.
