memory, charge: name the state in which the remote side has to act

"Attended" did not say who attends to what. The accounts now state that they await the remote side, a caller or an entry. Renames and comments only.

--- a/internal/core/memory/budget.go
+++ b/internal/core/memory/budget.go
@@ -51,12 +51,13 @@
 	held    [NumCauses]int64
 	total   int64
 	// progressAt lags behind the present by the time for which the holder was slower
-	// than minRate. While the account is not attended, lag has that time.
+	// than minRate. While the remote side need not act, lag has that time.
 	progressAt clock.Milli
 	lag        clock.Milli
-	// attended is set while the other side has to act, so that the account may be closed.
-	attended bool
-	closing  bool
+	// awaitsRemote is set while the remote side, a caller or an entry, has to act. Only then
+	// may the account be closed.
+	awaitsRemote bool
+	closing      bool
 }
 
 // Held returns the bytes that the account holds.
@@ -69,31 +70,31 @@
 	return now - a.progressAt
 }
 
-// Attended reports whether the other side has to act.
-func (a *Account) Attended() bool {
-	return a.attended
+// AwaitsRemote reports whether the remote side has to act.
+func (a *Account) AwaitsRemote() bool {
+	return a.awaitsRemote
 }
 
-// Attend says whether the other side has to act from now on. The time for which it does not
-// have to does not count as a lack of progress.
-func (a *Account) Attend(now clock.Milli, attended bool) {
+// SetAwaitsRemote says whether the remote side has to act from now on. The time for which it
+// does not have to does not count as a lack of progress.
+func (a *Account) SetAwaitsRemote(now clock.Milli, awaitsRemote bool) {
 	switch {
-	case attended && !a.attended:
+	case awaitsRemote && !a.awaitsRemote:
 		a.progressAt = now - a.lag
-	case !attended && a.attended:
+	case !awaitsRemote && a.awaitsRemote:
 		a.lag = now - a.progressAt
 	}
-	a.attended = attended
+	a.awaitsRemote = awaitsRemote
 }
 
-// Expect says that the other side now has to send or take n bytes, which takes it some time
+// Expect says that the remote side now has to send or take n bytes, which takes it some time
 // at minRate.
 func (a *Account) Expect(now clock.Milli, n int) {
-	a.attended, a.lag = true, 0
+	a.awaitsRemote, a.lag = true, 0
 	a.progressAt = now + clock.Milli(n)*clock.Second/minRate
 }
 
-// Progress records that the other side sent or took n bytes.
+// Progress records that the remote side sent or took n bytes.
 func (a *Account) Progress(now clock.Milli, n int) {
 	a.progressAt = min(now, a.progressAt+clock.Milli(n)*clock.Second/minRate)
 }
@@ -218,7 +219,7 @@
 func (b *Budget) stalled(now clock.Milli, a *Account, bulk, ownOnly bool) []*Account {
 	var stalled []*Account
 	for v := range b.accounts {
-		if v == a || !v.attended || v.closing || v.total == 0 || v.StalledFor(now) < stallGrace {
+		if v == a || !v.awaitsRemote || v.closing || v.total == 0 || v.StalledFor(now) < stallGrace {
 			continue
 		}
 		if bulk && v.held[Body]+v.held[Response] == 0 {
--- a/internal/core/memory/budget_test.go
+++ b/internal/core/memory/budget_test.go
@@ -24,7 +24,7 @@
 			cause := memory.Cause(rapid.IntRange(0, int(memory.NumCauses)-1).Draw(t, "cause"))
 			if len(open) == 0 || rapid.IntRange(0, 9).Draw(t, "open") == 0 {
 				a := b.Open(now, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "address"))
-				a.Attend(now, rapid.Bool().Draw(t, "attended"))
+				a.SetAwaitsRemote(now, rapid.Bool().Draw(t, "awaitsRemote"))
 				open = append(open, a)
 			}
 			i := rapid.IntRange(0, len(open)-1).Draw(t, "account")
@@ -76,7 +76,7 @@
 func TestStalledHoldersGiveWay(t *testing.T) {
 	tests := map[string]struct {
 		bytesPerSecond int
-		attended       bool
+		awaitsRemote   bool
 		closed         int
 	}{
 		"stalled": {0, true, 1}, "below the rate": {1 << 10, true, 1},
@@ -89,7 +89,7 @@
 			crowd := make([]*memory.Account, 7)
 			for i := range crowd {
 				crowd[i] = b.Open(0, "crowd")
-				crowd[i].Attend(0, tt.attended)
+				crowd[i].SetAwaitsRemote(0, tt.awaitsRemote)
 				g.Expect(b.Take(crowd[i], memory.Body, 100)).To(BeTrue())
 			}
 			for now := clock.Milli(100); now <= 4000; now += 100 {
--- a/internal/core/queue/load_test.go
+++ b/internal/core/queue/load_test.go
@@ -101,7 +101,7 @@
 		"short and long, nearly full":  {map[string]kind{"short": short, "long": long}, map[string]float64{"short": 0.97, "long": 0.9}, 3.5},
 		"short and long, over the top": {map[string]kind{"short": short, "long": burst}, map[string]float64{"short": 0.9, "long": 0.5}, 3.7},
 		"urgent and patient":           {map[string]kind{"urgent": urgent, "patient": patient}, map[string]float64{"urgent": 0.97, "patient": 0.5}, 3.7},
-		// The slots suffice for half of the calls of each route.
+		// The slots suffice for half of the calls. The patient route keeps a quarter of its half.
 		"urgent flood": {map[string]kind{"flood": flood, "patient": patient}, map[string]float64{"flood": 0.5, "patient": 0.125}, 3.7},
 	}
 	for name, tt := range tests {
--- a/internal/path/charge/account.go
+++ b/internal/path/charge/account.go
@@ -24,9 +24,9 @@
 	if w == nil || w.refused {
 		return w == nil
 	}
-	wasAttended := a.attend(false)
+	awaited := a.setAwaitsRemote(false)
 	ok := a.gate.await(ctx, w)
-	a.attend(wasAttended)
+	a.setAwaitsRemote(awaited)
 	return ok
 }
 
@@ -43,31 +43,31 @@
 	a.gate.grant()
 }
 
-// Progress records that the other side sent or took n bytes.
+// Progress records that the remote side sent or took n bytes.
 func (a *Account) Progress(n int) {
 	a.gate.mu.Lock()
 	defer a.gate.mu.Unlock()
 	a.core.Progress(a.gate.clock.Now(), n)
 }
 
-// Expect says that the other side now has to send or take n bytes.
+// Expect says that the remote side now has to send or take n bytes.
 func (a *Account) Expect(n int) {
 	a.gate.mu.Lock()
 	defer a.gate.mu.Unlock()
 	a.core.Expect(a.gate.clock.Now(), n)
 }
 
-// Attend says whether the other side has to act from now on. Only then may the account be
-// ended for others.
-func (a *Account) Attend(attended bool) {
-	a.attend(attended)
+// SetAwaitsRemote says whether the remote side has to act from now on. Only then may the
+// account be closed to make room for others.
+func (a *Account) SetAwaitsRemote(awaitsRemote bool) {
+	a.setAwaitsRemote(awaitsRemote)
 }
 
-func (a *Account) attend(attended bool) (before bool) {
+func (a *Account) setAwaitsRemote(awaitsRemote bool) (before bool) {
 	a.gate.mu.Lock()
 	defer a.gate.mu.Unlock()
-	before = a.core.Attended()
-	a.core.Attend(a.gate.clock.Now(), attended)
+	before = a.core.AwaitsRemote()
+	a.core.SetAwaitsRemote(a.gate.clock.Now(), awaitsRemote)
 	return before
 }
 
--- a/internal/path/charge/conn.go
+++ b/internal/path/charge/conn.go
@@ -68,7 +68,7 @@
 	defer c.mu.Unlock()
 	c.calls += n
 	if c.calls > 0 {
-		c.account.Attend(false)
+		c.account.SetAwaitsRemote(false)
 		return
 	}
 	c.account.Expect(0)
--- a/internal/path/charge/gate_test.go
+++ b/internal/path/charge/gate_test.go
@@ -19,8 +19,8 @@
 // against a call that waits without end.
 func TestWaitForRoom(t *testing.T) {
 	tests := map[string]struct {
-		attended bool
-		granted  bool
+		awaitsRemote bool
+		granted      bool
 	}{"holder has stalled": {true, true}, "holder waits for its target": {false, false}}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -31,7 +31,7 @@
 			holder = gate.Open("a", func() { holder.Close() })
 			g.Expect(holder.TryTake(memory.Body, limit/2)).To(BeTrue())
 			holder.Expect(0)
-			holder.Attend(tt.attended)
+			holder.SetAwaitsRemote(tt.awaitsRemote)
 			time.Sleep(1100 * time.Millisecond)
 			caller := gate.Open("b", func() {})
 			g.Expect(caller.Take(t.Context(), memory.Body, limit/2)).To(Equal(tt.granted))
--- a/internal/path/entry/body.go
+++ b/internal/path/entry/body.go
@@ -53,7 +53,7 @@
 		return b, nil
 	}
 	account.Expect(0)
-	defer account.Attend(false)
+	defer account.SetAwaitsRemote(false)
 	if err := b.buffered.readFrom(httpReq, maxBuffered, account); err != nil {
 		return b, err
 	}
@@ -107,13 +107,13 @@
 			chunk.Trailers = header.Encode(b.httpReq.Trailer)
 		}
 		// The guard's reads are not the caller's progress.
-		b.account.Attend(false)
+		b.account.SetAwaitsRemote(false)
 		if err := st.Send(&wire.Frame{Body: &wire.Frame_BodyChunk{BodyChunk: chunk}}); err != nil {
 			return err
 		}
 		if last {
 			return nil
 		}
-		b.account.Attend(!b.complete)
+		b.account.SetAwaitsRemote(!b.complete)
 	}
 }
--- a/internal/path/entry/cutoff.go
+++ b/internal/path/entry/cutoff.go
@@ -11,13 +11,14 @@
 // errCutOff says that the connection must not be used any more.
 var errCutOff = errors.New("the caller was cut off")
 
-// cutOff ends the part that a caller has in a call: reading its body, and later writing to
-// it. It is safe for concurrent use.
+// cutOff ends the exchange with a caller: the reads of its body, and later the writes of the
+// response. It is safe for concurrent use.
 type cutOff struct {
 	mu         sync.Mutex
 	writer     http.ResponseWriter
 	responding bool
-	over       bool
+	// over is set when the handler of the call has returned.
+	over bool
 }
 
 // run makes the pending and later reads, or the writes of a response, fail. A request whose
--- a/internal/path/entry/response.go
+++ b/internal/path/entry/response.go
@@ -85,6 +85,7 @@
 	if n < 0 || n > charge.WindowBytes/2 {
 		n = charge.WindowBytes / 2
 	}
+	// The buffer of a stream grows by doubling.
 	n *= 2
 	return runner.account.Take(runner.httpReq.Context(), memory.Response, n)
 }
@@ -94,7 +95,7 @@
 	account := a.runner.account
 	account.Expect(len(data))
 	_, err := a.runner.respWriter.Write(data)
-	account.Attend(false)
+	account.SetAwaitsRemote(false)
 	if err == nil && account.Ended() {
 		// The writes of a later request on the connection would fail, too.
 		return errCutOff
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -224,7 +224,7 @@
 // send sends frames to the entry, which has to take them.
 func (x *exchange) send(frames []*wire.Frame) error {
 	x.account.Expect(link.MaxChunkBytes)
-	defer x.account.Attend(false)
+	defer x.account.SetAwaitsRemote(false)
 	return x.stream.link.Send(frames...)
 }
 
--- a/internal/path/guard/stream.go
+++ b/internal/path/guard/stream.go
@@ -209,7 +209,7 @@
 type bodyReader struct {
 	ctx    context.Context
 	stream *stream
-	// account is attended while the entry has to send.
+	// account awaits the entry while that has to send.
 	account *charge.Account
 	unread  []byte
 	// receivedLast is set when the last chunk was received. The exchange reads
@@ -228,7 +228,7 @@
 		}
 		b.account.Expect(link.MaxChunkBytes)
 		f := b.stream.nextFrame(b.ctx)
-		b.account.Attend(false)
+		b.account.SetAwaitsRemote(false)
 		if f == nil || f.GetBodyChunk() == nil {
 			return 0, errBodyTruncated
 		}
