--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -5,6 +5,10 @@
 // MaxDepth is the longest chain of calls between services that is served.
 const MaxDepth = 21
 
+// SlowVMThreshold is the slowdown of a VM from which a call is better started later or on
+// another target, as the slowdown at its start determines its duration.
+const SlowVMThreshold = 1.8
+
 // Request describes a call without its body.
 type Request struct {
 	ID ID
--- a/internal/core/place/room.go
+++ b/internal/core/place/room.go
@@ -1,23 +1,21 @@
 package place
 
-import "gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
-
-const (
-	// slowVMThreshold is the slowdown of a VM from which guards refuse calls that other
-	// targets could serve.
-	slowVMThreshold = 1.8
-	// maxRoomFailureRate is the failure rate above which a target has no room, although
-	// its load would allow another call.
-	maxRoomFailureRate = 0.1
+import (
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 )
 
+// maxRoomFailureRate is the failure rate above which a target has no room, although its load
+// would allow another call.
+const maxRoomFailureRate = 0.1
+
 // hasRoom reports whether a target is expected to start another call at once and to run it
 // as fast and as reliably as others would. Where loads differ between data centres, only
 // calls that do not fit in the caller's own one go to another.
 func (p *Picker) hasRoom(now clock.Milli, t *target) bool {
 	load, limit, slowdown := p.estimateLoad(now, t)
 	switch {
-	case load+1 > limit, slowdown >= slowVMThreshold, t.admitDelay(now) > 0:
+	case load+1 > limit, slowdown >= call.SlowVMThreshold, t.admitDelay(now) > 0:
 		return false
 	case t.isLeaving(now), t.decayedFailureRate(now) > maxRoomFailureRate:
 		return false
--- a/internal/core/queue/cold.go
+++ b/internal/core/queue/cold.go
@@ -5,6 +5,7 @@
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
+	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 )
 
 const (
@@ -50,7 +51,7 @@
 	if stats == nil || stats.Calls-stats.Failed < minMeasuredCalls {
 		return 0
 	}
-	slowdown := min(slowVMThreshold, d.currentSlowdown(now))
+	slowdown := min(call.SlowVMThreshold, d.currentSlowdown(now))
 	return neededTimeFactor * clock.Milli(slowdown) * d.serviceTimes[route]
 }
 
--- a/internal/core/queue/dispatcher.go
+++ b/internal/core/queue/dispatcher.go
@@ -38,9 +38,6 @@
 	// maxSlotUtilisation is the fraction of the slots that is used. Above it,
 	// upstreams slow down.
 	maxSlotUtilisation = 0.8
-	// slowVMThreshold is the slowdown from which a call is better started later or
-	// on another target, as the slowdown at its start determines its duration.
-	slowVMThreshold = 1.8
 )
 
 type runningCall struct {
--- a/internal/core/queue/wait.go
+++ b/internal/core/queue/wait.go
@@ -30,7 +30,7 @@
 }
 
 func (d *Dispatcher) isVMSlow(now clock.Milli) bool {
-	return d.vmSlowdown(now) >= slowVMThreshold
+	return d.vmSlowdown(now) >= call.SlowVMThreshold
 }
 
 // DelayedBySlowVM reports whether calls wait for the upstream's VM to become faster.
