Untie the reporter of usage from its runner; comments

The reporter was found again by a type assertion. The sum of the demands stood twice. Comments say what the state is instead of what a daemon "knows of", and two broken lines are wrapped. No change of behaviour.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -216,5 +216,5 @@
 	}
 }
 
-// HighestToken returns the highest token that this daemon knows of.
+// HighestToken returns the highest token that this or another daemon has seen.
 func (c *Core) HighestToken() int64 { return c.highestToken }
--- a/internal/core/lease/model_test.go
+++ b/internal/core/lease/model_test.go
@@ -65,10 +65,10 @@
 	core       *lease.Core
 	skew       clock.Milli
 	pausedTill clock.Milli
-	// stopsTill is the end of a planned stop.
-	stopsTill clock.Milli
-	call      *modelCall
-	delayed   []*modelCall
+	// stopsUntil is the end of a planned stop.
+	stopsUntil clock.Milli
+	call       *modelCall
+	delayed    []*modelCall
 }
 
 // modelReport is a report on its way to the platform.
@@ -137,7 +137,7 @@
 			n.pausedTill = m.now + clock.Milli(m.rand.IntN(20_000))
 		}
 		if m.chance(0.05) {
-			n.stopsTill = m.now + clock.Milli(m.rand.IntN(4000))
+			n.stopsUntil = m.now + clock.Milli(m.rand.IntN(4000))
 		}
 		if m.chance(0.01) {
 			m.restart(n)
@@ -175,7 +175,7 @@
 		m.finish(n, c)
 	}
 	m.work(n)
-	s := lease.Situation{Rank: n.id, Stopping: m.now < n.stopsTill, TrueTime: m.now + n.skew}
+	s := lease.Situation{Rank: n.id, Stopping: m.now < n.stopsUntil, TrueTime: m.now + n.skew}
 	if step := n.core.Next(m.now, s); step.Action != lease.ActionNone {
 		c := &modelCall{step: step, startedAt: m.now, runAt: m.now + clock.Milli(m.rand.IntN(300)) + step.Wait, lost: m.rand.Float64() < 0.15}
 		c.end = c.runAt + clock.Milli(m.rand.IntN(200))
--- a/internal/core/lease/step.go
+++ b/internal/core/lease/step.go
@@ -28,7 +28,7 @@
 	Wait clock.Milli
 }
 
-// Situation is what the decision needs to know of the daemon.
+// Situation is the state of this daemon that the decision depends on.
 type Situation struct {
 	// Rank is the position of this daemon among the candidates, negative if it is none.
 	Rank int
--- a/internal/core/queue/load_test.go
+++ b/internal/core/queue/load_test.go
@@ -18,7 +18,7 @@
 	interval, service, soft, maxAge clock.Milli
 }
 
-// offered is a call of a load, and its fate.
+// offered is a call of a load, and its outcome.
 type offered struct {
 	kind             string
 	at, ends, soft   clock.Milli
--- a/internal/core/queue/reserve.go
+++ b/internal/core/queue/reserve.go
@@ -9,7 +9,8 @@
 const shortageEnd = clock.Second
 
 // exceedsShare reports whether a call of the route would take a slot that the calls of other
-// routes, which are expected, need more. It is false while the slots suffice for all.
+// routes, which are expected, need more. It is false while the slots suffice for all, and while
+// less than half of them is in use.
 func (d *Dispatcher) exceedsShare(now clock.Milli, route string) bool {
 	if 2*len(d.inProgress) < d.maxInProgress() {
 		return false
--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -35,10 +35,7 @@
 // less than an even part gets what it needs.
 func Divide(slots float64, demands []Demand) []Part {
 	parts := make([]Part, len(demands))
-	total, floors := 0.0, 0.0
-	for _, d := range demands {
-		total += d.Load
-	}
+	total, floors := totalLoad(demands), 0.0
 	for i, d := range demands {
 		parts[i] = Part{Demand: d, Floor: d.Load}
 		if total > slots {
@@ -78,11 +75,15 @@
 
 // IsShort reports whether the slots do not suffice for the demands.
 func IsShort(slots float64, demands []Demand) bool {
+	return totalLoad(demands) > slots
+}
+
+func totalLoad(demands []Demand) float64 {
 	total := 0.0
 	for _, d := range demands {
 		total += d.Load
 	}
-	return total > slots
+	return total
 }
 
 // Reserve returns the number of slots that a further call of a route must leave free for
--- a/internal/node/duty/runner.go
+++ b/internal/node/duty/runner.go
@@ -1,6 +1,6 @@
 // Package duty performs a task that one daemon of the fleet does at a time. A Runner takes
-// part in the election of the holder and lets the work of the duty act while this daemon is
-// the holder. Another duty is another Work with a topic of its own.
+// part in the choice of the holder, and runs the work of the duty while this daemon is the
+// holder. Another duty is another Work with a topic of its own.
 package duty
 
 import (
@@ -41,8 +41,8 @@
 	Work  Work
 	// Enabled reports whether the fleet has the duty now.
 	Enabled func() bool
-	// Situation returns what the election needs to know of this daemon, where holder is the
-	// holder that it knows of.
+	// Situation returns the state of this daemon that the lease depends on. The argument is
+	// the latest holder in the log.
 	Situation func(holder string) lease.Situation
 
 	mu   sync.Mutex
@@ -150,7 +150,7 @@
 	return held
 }
 
-// holder returns the latest known holder.
+// holder returns the latest holder in the log.
 func (r *Runner) holder() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -171,14 +171,14 @@
 	return r.core.Record().Since
 }
 
-// HighestToken returns the highest token that this daemon knows of.
+// HighestToken returns the highest token that this or another daemon has seen.
 func (r *Runner) HighestToken() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.core.HighestToken()
 }
 
-// NoteToken records a token that another daemon knows of.
+// NoteToken records a token that another daemon has seen.
 func (r *Runner) NoteToken(token int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/node/mesh/usage.go
+++ b/internal/node/mesh/usage.go
@@ -46,12 +46,13 @@
 	if n.settings.FirstStart {
 		earliest = int64(n.usage.since / n.settings.Usage.Timing.Length)
 	}
+	reporter := &usageReporter{
+		name: n.settings.Name, settings: n.settings.Usage, log: n.log, meter: n.meter, platform: n.platform,
+		counter: n.usage, puller: puller, earliest: earliest,
+	}
 	n.usageDuty = &duty.Runner{
 		Name: usageDutyName, Topic: n.platform.Topics().Usage, Store: n.store, Log: n.log, Enabled: n.hasWorkspaces,
-		Work: &usageReporter{
-			name: n.settings.Name, settings: n.settings.Usage, log: n.log, meter: n.meter, platform: n.platform,
-			counter: n.usage, puller: puller, earliest: earliest,
-		},
+		Work: reporter,
 		Situation: func(holder string) lease.Situation {
 			s := lease.Situation{Rank: -1, Stopping: n.lifecycle.stopping.Load(), TrueTime: n.usage.trueTime()}
 			if n.clock.Now() >= startAt {
@@ -61,7 +62,7 @@
 		},
 	}
 	n.usageDuty.Init(n.self.ID+processSeparator+strconv.FormatUint(n.self.Incarnation, 10), n.settings.Usage.leaseTiming())
-	n.usageDuty.Work.(*usageReporter).runner = n.usageDuty
+	reporter.runner = n.usageDuty
 	n.usage.noteToken, n.usage.highestToken = n.usageDuty.NoteToken, n.usageDuty.HighestToken
 	n.meter.AddGauge("usage_duty_held", func() float64 { return gaugeValue(n.usageDuty.Token() > 0) })
 	n.meter.AddGauge("usage_duty_token", func() float64 { return float64(n.usageDuty.HighestToken()) })
