--- a/internal/node/mesh/usagereporter.go
+++ b/internal/node/mesh/usagereporter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"strconv"
 	"sync"
 
@@ -72,6 +73,7 @@
 	now := u.counter.trueTime()
 	t := u.settings.Timing
 	u.puller.step(ctx, now, max(u.first, t.First(now)-1))
+	u.expire(t.First(now) - settledKeys)
 	for w := max(u.first, t.First(now)-settledKeys/2); t.Start(w+1) <= now; w++ {
 		if !u.done[w] {
 			u.decide(ctx, now, w)
@@ -79,6 +81,15 @@
 	}
 }
 
+// expire removes what is recorded of windows before first.
+func (u *usageReporter) expire(first int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, windows := range []map[int64]bool{u.done, u.stored, u.accepted} {
+		maps.DeleteFunc(windows, func(w int64, _ bool) bool { return w < first })
+	}
+}
+
 // decide does what is due about one window.
 func (u *usageReporter) decide(ctx context.Context, now clock.Milli, window int64) {
 	settled, ok := u.settled(window)
