--- a/internal/node/mesh/usagereporter.go
+++ b/internal/node/mesh/usagereporter.go
@@ -81,8 +81,8 @@
 		u.Begin()
 	}
 	u.steppedAt = now
-	u.expire(t.First(now) - settledKeys)
 	u.puller.step(ctx, now, max(u.first, t.First(now)-1))
+	u.expire(t.First(now) - settledKeys)
 	for w := max(u.first, t.First(now)-settledKeys/2); t.Start(w+1) <= now; w++ {
 		if !u.done[w] {
 			u.decide(ctx, now, w)
@@ -90,7 +90,7 @@
 	}
 }
 
-// expire drops what is recorded of the windows before first.
+// expire removes what is recorded of windows before first.
 func (u *usageReporter) expire(first int64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/path/entry/response.go
+++ b/internal/path/entry/response.go
@@ -81,6 +81,7 @@
 	if n < 0 || n > charge.WindowBytes/2 {
 		n = charge.WindowBytes / 2
 	}
+	// The buffer of a stream grows by doubling.
 	n *= 2
 	return runner.account.Take(runner.httpReq.Context(), memory.Response, n)
 }
@@ -95,7 +96,7 @@
 		// A failed flush ends the connection, which the next write reports.
 		_ = http.NewResponseController(a.runner.respWriter).Flush()
 	}
-	account.Attend(false)
+	account.SetAwaitsRemote(false)
 	if err == nil && account.Ended() {
 		// The writes of a later request on the connection would fail, too.
 		return errCutOff
