share: remove routes without calls also while the slots suffice

The table of demand kept each route that ever had calls, as it only removed some when an upstream was half full. A new route now removes those without calls.

--- a/internal/core/share/demand.go
+++ b/internal/core/share/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -54,6 +55,7 @@
 	}
 	r := t.routes[route]
 	if r == nil {
+		t.removeUnused(now)
 		r = &routeRates{}
 		t.routes[route] = r
 	}
@@ -62,6 +64,11 @@
 	t.arrived.observe(now)
 }
 
+// removeUnused removes routes without calls. Demands does so too, but only near a shortage.
+func (t *Table) removeUnused(now clock.Milli) {
+	maps.DeleteFunc(t.routes, func(_ string, r *routeRates) bool { return r.arrived.valueAt(now) < minRate })
+}
+
 // RecordStart records the start of a call that was observed.
 func (t *Table) RecordStart(now clock.Milli, route string) {
 	if r := t.routes[route]; r != nil {
