--- a/internal/node/mesh/usagereporter.go
+++ b/internal/node/mesh/usagereporter.go
@@ -49,6 +49,8 @@
 	done map[int64]bool
 	// stored has the windows that were seen to be settled.
 	stored map[int64]bool
+	// steppedAt is the true time of the last step.
+	steppedAt clock.Milli
 
 	mu sync.Mutex
 	// sending is set while a report is sent. accepted has the windows whose report was accepted.
@@ -72,6 +74,13 @@
 func (u *usageReporter) Step(ctx context.Context) {
 	now := u.counter.trueTime()
 	t := u.settings.Timing
+	if now < u.steppedAt-t.Length {
+		// The clock was ahead, so what was recorded at instants to come is void.
+		u.earliest = 0
+		u.puller.reset()
+		u.Begin()
+	}
+	u.steppedAt = now
 	u.puller.step(ctx, now, max(u.first, t.First(now)-1))
 	u.expire(t.First(now) - settledKeys)
 	for w := max(u.first, t.First(now)-settledKeys/2); t.Start(w+1) <= now; w++ {
