mesh: exclude rolled back versions during the next move

Cause: a daemon keeps the state of the latest move of a service only. The next order replaced it, and with it the verdict on the version before. All versions but the new one counted as the old one, at entries and at guards.

Evidence: all 18 daemons log the rollback of v2 0.6 s before the order of v3, and the calls to v2 begin again within the second of that order. Without the second order there are none.

Change: a move has the history of the earlier ones: the last move that succeeded, whose version is then the only old one, or else the last outcome of each version. A version that was rolled back, or whose move was replaced by a later order before it ended, gets no calls at entries, in the fallback and at its guards until it is ordered again. Daemons exchange the outcomes with the state of the moves, so one that missed an outcome gets it from the next peer.

--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -3,6 +3,8 @@
 package canary
 
 import (
+	"slices"
+
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
@@ -58,7 +60,9 @@
 type Move struct {
 	order order.Move
 	phase Phase
-	calls callHistory
+	// earlier has the moves of the service before this one.
+	earlier History
+	calls   callHistory
 	// step is the number of completed increases of the share, lastStepAt the time
 	// of the latest one.
 	step        int
@@ -68,9 +72,21 @@
 	evidence Evidence
 }
 
+// Option configures a Move in New.
+type Option func(*Move)
+
+// WithEarlier sets the history of the earlier moves of the service, empty by default.
+func WithEarlier(h History) Option {
+	return func(m *Move) { m.earlier = h }
+}
+
 // New returns a running move at the trial share.
-func New(o order.Move) *Move {
-	return &Move{order: o, calls: newCallHistory()}
+func New(o order.Move, opts ...Option) *Move {
+	m := &Move{order: o, calls: newCallHistory()}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
 }
 
 // Order returns the operators' order that started the move.
@@ -79,6 +95,28 @@
 // Phase returns the current phase.
 func (m *Move) Phase() Phase { return m.phase }
 
+// Outcome returns the phase together with the order.
+func (m *Move) Outcome() Outcome {
+	return Outcome{Position: m.order.Position, Version: m.order.Version, Phase: m.phase}
+}
+
+// Earlier returns the history of the earlier moves of the service.
+func (m *Move) Earlier() History { return m.earlier }
+
+// AddEarlier adds the outcome of an earlier move, which another daemon reports, and reports
+// whether the history changed. It ignores the outcomes of this move and of later ones.
+func (m *Move) AddEarlier(o Outcome) bool {
+	if o.Position >= m.order.Position {
+		return false
+	}
+	earlier := m.earlier.With(o)
+	if slices.Equal(earlier, m.earlier) {
+		return false
+	}
+	m.earlier = earlier
+	return true
+}
+
 // PhaseReason describes why the phase became final. It is empty while the move is
 // running and after a success that this daemon determined itself.
 func (m *Move) PhaseReason() string { return m.phaseReason }
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -22,9 +22,6 @@
 	evaluationInterval = 100 * clock.Millisecond
 )
 
-// statusStoredBit is set in an encoded phase if the final status is in the store.
-const statusStoredBit = 4
-
 // moveState is a version move and how far this daemon has processed it.
 type moveState struct {
 	move *canary.Move
@@ -64,8 +61,12 @@
 			m.repeatMove(service, old, ord)
 			continue
 		}
-		m.byService[service] = &moveState{move: canary.New(ord)}
-		m.log.Info().Str("service", service).Str("version", ord.Version).
+		var earlier canary.History
+		if old != nil {
+			earlier = old.move.Earlier().With(old.move.Outcome())
+		}
+		m.byService[service] = &moveState{move: canary.New(ord, canary.WithEarlier(earlier))}
+		m.log.Info().Str("service", service).Str("version", ord.Version).Stringer("earlier", earlier).
 			Float64("within_ms", float64(ord.MaxDuration)).Msg("version_move_ordered")
 	}
 }
@@ -116,7 +117,9 @@
 	if s == nil {
 		return nil
 	}
-	return &trafficSplit{version: s.move.Order().Version, share: s.move.Share(), final: s.move.Phase() != canary.Running}
+	return &trafficSplit{
+		version: s.move.Order().Version, share: s.move.Share(), final: s.move.Phase() != canary.Running, earlier: s.move.Earlier(),
+	}
 }
 
 // targetIDs returns the ids of the targets of a version.
@@ -169,17 +172,17 @@
 			continue
 		}
 		changed = true
-		m.recordProgress(service, s, now)
+		m.recordProgress(s, now)
 	}
 	return changed
 }
 
 // recordProgress logs a completed step or the end of a move and sets endedAt at the
 // end.
-func (m *moveTracker) recordProgress(service string, s *moveState, now clock.Milli) {
+func (m *moveTracker) recordProgress(s *moveState, now clock.Milli) {
 	ord := s.move.Order()
 	evidence := s.move.Evidence()
-	event := m.log.Info().Str("service", service).Str("version", ord.Version).
+	event := m.log.Info().Str("service", ord.Service).Str("version", ord.Version).
 		Uint64("answers", evidence.Answers).Uint64("bad", evidence.Bad).
 		Float64("expected_bad", evidence.Expected).Float64("probability", evidence.Probability)
 	if s.move.Phase() == canary.Running {
@@ -200,41 +203,3 @@
 	}
 	return canary.Evidence{}
 }
-
-// encode returns the moves as sent to peers, with times as ages.
-func (m *moveTracker) encode(now clock.Milli) []*wire.MoveState {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := make([]*wire.MoveState, 0, len(m.byService))
-	for service, s := range m.byService {
-		phase := uint32(s.move.Phase())
-		if s.statusStored {
-			phase |= statusStoredBit
-		}
-		ord := s.move.Order()
-		step, at := s.move.LastStep()
-		out = append(out, &wire.MoveState{
-			Service: service, Offset: int64(ord.Position), AgeMs: float64(now - ord.ReceivedAt), Phase: phase,
-			Step: uint32(step), StepAgeMs: float64(now - at),
-		})
-	}
-	return out
-}
-
-// merge adopts the progress that a peer reports of moves with the same order.
-func (m *moveTracker) merge(now clock.Milli, in []*wire.MoveState) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, w := range in {
-		s := m.byService[w.GetService()]
-		if s == nil || int64(s.move.Order().Position) != w.GetOffset() {
-			continue
-		}
-		s.move.MergeStart(now - clock.Milli(w.GetAgeMs()))
-		s.move.MergeStep(int(w.GetStep()), now-clock.Milli(w.GetStepAgeMs()))
-		if s.move.SetFinalPhase(canary.Phase(w.GetPhase()&^statusStoredBit), "reported by a peer") {
-			m.recordProgress(w.GetService(), s, now)
-		}
-		s.statusStored = s.statusStored || w.GetPhase()&statusStoredBit != 0
-	}
-}
--- /dev/null
+++ b/internal/node/mesh/movesync.go
@@ -0,0 +1,88 @@
+package mesh
+
+import (
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
+	"gitlab.com/cranberrytack/cranberrytack/internal/moves/canary"
+	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
+)
+
+// statusStoredBit is set in an encoded phase if the final status is in the store.
+const statusStoredBit = 4
+
+// encode returns the moves as sent to peers, with times as ages.
+func (m *moveTracker) encode(now clock.Milli) []*wire.MoveState {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]*wire.MoveState, 0, len(m.byService))
+	for service, s := range m.byService {
+		out = append(out, s.encode(now, service))
+	}
+	return out
+}
+
+func (s *moveState) encode(now clock.Milli, service string) *wire.MoveState {
+	phase := uint32(s.move.Phase())
+	if s.statusStored {
+		phase |= statusStoredBit
+	}
+	ord := s.move.Order()
+	step, at := s.move.LastStep()
+	out := &wire.MoveState{
+		Service: service, Offset: int64(ord.Position), AgeMs: float64(now - ord.ReceivedAt), Phase: phase,
+		Step: uint32(step), StepAgeMs: float64(now - at), Version: ord.Version,
+	}
+	for _, o := range s.move.Earlier() {
+		out.Earlier = append(out.Earlier, &wire.MoveOutcome{Offset: int64(o.Position), Version: o.Version, Phase: uint32(o.Phase)})
+	}
+	return out
+}
+
+// decodeOutcomes returns the outcomes of the earlier moves and of the latest one that a peer
+// reports.
+func decodeOutcomes(w *wire.MoveState) []canary.Outcome {
+	out := make([]canary.Outcome, 0, len(w.GetEarlier())+1)
+	for _, o := range w.GetEarlier() {
+		out = append(out, canary.Outcome{Position: feed.Position(o.GetOffset()), Version: o.GetVersion(), Phase: canary.Phase(o.GetPhase())})
+	}
+	return append(out, canary.Outcome{
+		Position: feed.Position(w.GetOffset()), Version: w.GetVersion(), Phase: canary.Phase(w.GetPhase() &^ statusStoredBit),
+	})
+}
+
+// merge adopts the progress that a peer reports of moves with the same order, and the outcomes
+// of earlier ones.
+func (m *moveTracker) merge(now clock.Milli, in []*wire.MoveState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, w := range in {
+		s := m.byService[w.GetService()]
+		if s == nil {
+			continue
+		}
+		for _, o := range decodeOutcomes(w) {
+			m.mergeOutcome(now, s, o)
+		}
+		if int64(s.move.Order().Position) == w.GetOffset() {
+			s.move.MergeStart(now - clock.Milli(w.GetAgeMs()))
+			s.move.MergeStep(int(w.GetStep()), now-clock.Milli(w.GetStepAgeMs()))
+			s.statusStored = s.statusStored || w.GetPhase()&statusStoredBit != 0
+		}
+	}
+}
+
+// mergeOutcome adopts the outcome of the latest move of a service or of an earlier one. The
+// caller holds the lock.
+func (m *moveTracker) mergeOutcome(now clock.Milli, s *moveState, o canary.Outcome) {
+	ord := s.move.Order()
+	switch {
+	case o.Position == ord.Position:
+		if s.move.SetFinalPhase(o.Phase, "reported by a peer") {
+			m.recordProgress(s, now)
+		}
+	case o.Version == "":
+		// A daemon of an earlier release does not name it.
+	case s.move.AddEarlier(o):
+		m.log.Info().Str("service", ord.Service).Str("version", ord.Version).Stringer("earlier", s.move.Earlier()).Msg("version_move_history")
+	}
+}
--- a/internal/node/mesh/rules.go
+++ b/internal/node/mesh/rules.go
@@ -8,6 +8,7 @@
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
+	"gitlab.com/cranberrytack/cranberrytack/internal/moves/canary"
 )
 
 // rules applies the orders in force to the routing of calls. It implements entry.Rules.
@@ -49,7 +50,7 @@
 	}
 	centresOut := r.registry.Current().CentresOut
 	return func(t *call.Target) bool {
-		return !centresOut[t.Centre] && t.Version != split.version
+		return !centresOut[t.Centre] && split.allowsOld(t.Version)
 	}
 }
 
@@ -64,18 +65,29 @@
 	// running, only the daemons in subset may then serve it.
 	toVersion bool
 	subset    []string
+	// earlier says which other versions may get calls.
+	earlier canary.History
 }
 
 // allows reports whether a target may serve the request.
 func (s *trafficSplit) allows(t *call.Target) bool {
-	if (t.Version == s.version) != s.toVersion {
-		return false
+	if !s.toVersion {
+		return s.allowsOld(t.Version)
 	}
-	return s.final || !s.toVersion || slices.Contains(s.subset, t.ID)
+	return t.Version == s.version && (s.final || slices.Contains(s.subset, t.ID))
 }
 
-// excludes reports whether a version gets no calls after the end of the move: the new
-// one after a rollback, all others after a success.
+// allowsOld reports whether a version may serve the requests that are not assigned to the new
+// one.
+func (s *trafficSplit) allowsOld(version string) bool {
+	return version != s.version && s.earlier.Allows(version)
+}
+
+// excludes reports whether a version gets no calls: the new one after a rollback, all others
+// after a success, and those that the earlier moves exclude.
 func (s *trafficSplit) excludes(version string) bool {
-	return s.final && (version == s.version) != (s.share > 0)
+	if version == s.version {
+		return s.final && s.share == 0
+	}
+	return s.final && s.share > 0 || !s.earlier.Allows(version)
 }
--- a/internal/node/mesh/statuswriter.go
+++ b/internal/node/mesh/statuswriter.go
@@ -161,7 +161,7 @@
 			}
 			if version == s.move.Order().Version && s.move.SetFinalPhase(p, "found in the store") {
 				s.statusStored = true
-				m.recordProgress(service, s, m.clock.Now())
+				m.recordProgress(s, m.clock.Now())
 			}
 		}
 	}
