canary: judge against the versions that may get calls

After a rollback, the bad answers of that version are part of what is expected: its slow answers raise the median from which an answer counts as slow.

Change: statistics of a version that the earlier moves exclude are ignored. When a daemon gets such an outcome later than the order, it drops what it has recorded; the guards report cumulative counts every 200 ms.

Result: TestVersionAfterSlowOneIsRolledBack, a version whose answers take three times as long after another such one, failed before (phase running after 5 s), whether the outcome was known at the order or later, and passes now.

--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -114,6 +114,9 @@
 		return false
 	}
 	m.earlier = earlier
+	// The recorded statistics may include those of a version that is excluded now. The guards
+	// report theirs again.
+	m.calls = newCallHistory()
 	return true
 }
 
@@ -149,8 +152,12 @@
 }
 
 // Observe records the cumulative call statistics that a guard reports for its
-// upstream. The target and the incarnation identify the guard.
+// upstream. The target and the incarnation identify the guard. Versions that earlier moves
+// exclude are no measure of the old one, so their statistics are ignored.
 func (m *Move) Observe(now clock.Milli, target string, incarnation uint64, version string, routeStats []call.RouteStats) {
+	if version != m.order.Version && !m.earlier.Allows(version) {
+		return
+	}
 	m.calls.observe(now, target, incarnation, version == m.order.Version, routeStats)
 }
 
--- a/internal/moves/canary/history_test.go
+++ b/internal/moves/canary/history_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/gomega"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/canary"
 )
 
@@ -60,6 +61,40 @@
 	}
 }
 
+// Guards against a slow version that is taken for a good one because the slow answers of a
+// version that was rolled back before count as those of the old version. Some daemons get the
+// outcome of that move later than the order.
+func TestVersionAfterSlowOneIsRolledBack(t *testing.T) {
+	tests := map[string]func() *canary.Move{
+		"known at the order": func() *canary.Move {
+			return canary.New(order.Move{Version: "v3", Position: 5, MaxDuration: maxDuration, ReceivedAt: orderedAt},
+				canary.WithEarlier(canary.History{rolledBack(3, "v2")}))
+		},
+		"known later": func() *canary.Move {
+			return canary.New(order.Move{Version: "v3", Position: 5, MaxDuration: maxDuration, ReceivedAt: orderedAt})
+		},
+	}
+	for name, newMove := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			m, now := newMove(), orderedAt
+			for i := uint64(1); i <= 50; i++ {
+				now += tickInterval
+				m.Observe(now, "old", 1, "v1", statsWithServiceTime(5*i, 300))
+				m.Observe(now, "slow", 1, "v2", statsWithServiceTime(500, 900))
+				for _, target := range []string{"one", "two", "three"} {
+					m.Observe(now, target, 1, "v3", statsWithServiceTime(i, 900))
+				}
+				if i == 20 {
+					m.AddEarlier(rolledBack(3, "v2"))
+				}
+				m.Evaluate(now)
+			}
+			g.Expect(m.Phase()).To(Equal(canary.RolledBack))
+		})
+	}
+}
+
 func newOutcome(position int64, version string, p canary.Phase) canary.Outcome {
 	return canary.Outcome{Position: feed.Position(position), Version: version, Phase: p}
 }
