mesh: name the order in the status of a version move

The new move ended as rolled_back 0.1 s after its order at every daemon; the sound version got nothing, and the status never said succeeded.

Cause: a status names only a version and a phase. A daemon that started since the first move reads the status, takes it for that of the new order, as both name the same version, and reports the end to its peers. The writer of the status does the same: it finds a final one of the version and writes nothing.

Change: the status names the position of its order (order). It counts for an order at that position, or at the same offset of a later era, as in a restored copy of the store. A status of an earlier release names no order; it counts for the newest order to its version, as before, so that an upgrade does not begin finished moves again.

--- a/internal/moves/canary/history.go
+++ b/internal/moves/canary/history.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
 )
 
 // maxOutcomes limits the length of a History. The oldest outcomes are dropped.
@@ -13,13 +14,24 @@
 
 // Outcome is the phase that a version move has reached.
 type Outcome struct {
-	// Position is that of the order of the move.
+	// Position is that of the order of the move. It is feed.PositionNone in a status of an
+	// earlier release, which does not name the order.
 	Position feed.Position
 	Version  string
 	// Phase is Running also if a later order replaced the move before it ended.
 	Phase Phase
 }
 
+// IsOf reports whether the outcome is that of the move that was ordered by ord. In a restored
+// copy of the store, a record has its offset in a later era.
+func (o Outcome) IsOf(ord order.Move) bool {
+	if o.Version != ord.Version {
+		return false
+	}
+	isCopy := o.Position.Era() != ord.Position.Era() && o.Position.Offset() == ord.Position.Offset()
+	return o.Position == ord.Position || isCopy || o.Position == feed.PositionNone
+}
+
 // String returns the version and the phase.
 func (o Outcome) String() string {
 	return o.Version + " " + o.Phase.String()
--- a/internal/node/mesh/platform.go
+++ b/internal/node/mesh/platform.go
@@ -111,8 +111,8 @@
 	DecodeDirective(key string, value []byte) (order.Directive, error)
 	// StatusKey returns the key in the status topic for a service's version move.
 	StatusKey(service string) string
-	EncodeStatus(version string, p canary.Phase) ([]byte, error)
-	DecodeStatus(value []byte) (version string, p canary.Phase, err error)
+	EncodeStatus(o canary.Outcome) ([]byte, error)
+	DecodeStatus(value []byte) (canary.Outcome, error)
 	// CallerProtocol returns the protocol of callers. The table function returns the
 	// routes in force, nil before the first configuration.
 	CallerProtocol(table func() *route.Table) entry.Protocol
--- a/internal/node/mesh/statuswriter.go
+++ b/internal/node/mesh/statuswriter.go
@@ -101,45 +101,54 @@
 	defer cancel()
 	m := w.moves
 	m.mu.Lock()
-	ord, phase := s.move.Order(), s.move.Phase()
+	ord, outcome := s.move.Order(), s.move.Outcome()
 	m.mu.Unlock()
-	err := w.writeStatus(ctx, ord, phase)
+	err := w.writeStatus(ctx, ord, outcome)
 	if err != nil {
-		m.log.Warn().Str("service", ord.Service).Str("phase", phase.String()).Err(err).Msg("status_not_written")
+		m.log.Warn().Str("service", ord.Service).Str("phase", outcome.Phase.String()).Err(err).Msg("status_not_written")
 		return
 	}
-	m.log.Info().Str("service", ord.Service).Str("phase", phase.String()).Msg("status_written")
+	m.log.Info().Str("service", ord.Service).Str("phase", outcome.Phase.String()).Msg("status_written")
 	m.mu.Lock()
 	s.statusStored = true
 	m.mu.Unlock()
 	m.notifyPeers()
 }
 
-// writeStatus appends the final status, unless the store has one for the same version.
-func (w *statusWriter) writeStatus(ctx context.Context, ord order.Move, phase canary.Phase) error {
+// writeStatus appends the final status, unless the store has one of the same order.
+func (w *statusWriter) writeStatus(ctx context.Context, ord order.Move, outcome canary.Outcome) error {
 	topic := w.platform.Topics().Status
 	b, err := w.store.Newest(ctx, topic)
 	if err != nil {
 		return err
 	}
-	key := w.platform.StatusKey(ord.Service)
-	for _, item := range b.Items {
-		if item.Key != key {
-			continue
-		}
-		version, p, err := w.platform.DecodeStatus(item.Value)
-		if err == nil && version == ord.Version && p != canary.Running {
-			return nil
-		}
+	if stored, ok := w.findStatus(b, ord.Service); ok && stored.IsOf(ord) && stored.Phase != canary.Running {
+		return nil
 	}
-	value, err := w.platform.EncodeStatus(ord.Version, phase)
+	value, err := w.platform.EncodeStatus(outcome)
 	if err != nil {
 		return err
 	}
-	_, err = w.store.Append(ctx, topic, feed.Item{Key: key, Value: value}, b.End)
+	_, err = w.store.Append(ctx, topic, feed.Item{Key: w.platform.StatusKey(ord.Service), Value: value}, b.End)
 	return err
 }
 
+// findStatus returns the stored status of the latest move of a service, false if there is no
+// readable one.
+func (w *statusWriter) findStatus(b feed.Batch, service string) (canary.Outcome, bool) {
+	key := w.platform.StatusKey(service)
+	i := slices.IndexFunc(b.Items, func(item feed.Item) bool { return item.Key == key })
+	if i < 0 {
+		return canary.Outcome{}, false
+	}
+	stored, err := w.platform.DecodeStatus(b.Items[i].Value)
+	if err != nil {
+		w.moves.log.Warn().Str("key", key).Err(err).Msg("status_unreadable")
+		return canary.Outcome{}, false
+	}
+	return stored, true
+}
+
 // restore applies the final statuses in the store to the known moves.
 func (w *statusWriter) restore(ctx context.Context) error {
 	b, err := w.store.Newest(ctx, w.platform.Topics().Status)
@@ -150,19 +159,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for service, s := range m.byService {
-		for _, item := range b.Items {
-			if item.Key != w.platform.StatusKey(service) {
-				continue
-			}
-			version, p, err := w.platform.DecodeStatus(item.Value)
-			if err != nil {
-				m.log.Warn().Str("key", item.Key).Err(err).Msg("status_unreadable")
-				continue
-			}
-			if version == s.move.Order().Version && s.move.SetFinalPhase(p, "found in the store") {
-				s.statusStored = true
-				m.recordProgress(s, m.clock.Now())
-			}
+		stored, ok := w.findStatus(b, service)
+		if ok && stored.IsOf(s.move.Order()) && s.move.SetFinalPhase(stored.Phase, "found in the store") {
+			s.statusStored = true
+			m.recordProgress(s, m.clock.Now())
 		}
 	}
 	return nil
