mesh: give daemons that start the outcomes of earlier moves

With daemons left in the fleet this lasts until the first reply of a peer; after a restart of all daemons it lasts to the end, as the store has the newest order and, at most, the status of one earlier move.

Cause: the outcomes of earlier moves were only in the memory of daemons. A move that a later order replaced before it ended left no trace in the store at all.

Change: the status of a move holds the outcomes of the earlier moves that still count (earlier), and is also written when the move is ordered, as the phase running of the page. It is written like the final one, in turn and under the condition that the topic ends where it was read, so it can't replace a final status. A daemon whose first orders contain a version move is not ready, and refuses callers as no_config, until a peer that has all outcomes or the store has answered, at most for 2 s. A daemon that got them from a peer no longer reads the statuses.

--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -103,6 +103,11 @@
 // Earlier returns the history of the earlier moves of the service.
 func (m *Move) Earlier() History { return m.earlier }
 
+// Status returns the status to store.
+func (m *Move) Status() Status {
+	return Status{Latest: m.Outcome(), Earlier: m.earlier}
+}
+
 // AddEarlier adds the outcome of an earlier move, which another daemon reports, and reports
 // whether the history changed. It ignores the outcomes of this move and of later ones.
 func (m *Move) AddEarlier(o Outcome) bool {
--- a/internal/moves/canary/history.go
+++ b/internal/moves/canary/history.go
@@ -37,6 +37,12 @@
 	return o.Version + " " + o.Phase.String()
 }
 
+// Status is what the store has of the moves of a service.
+type Status struct {
+	Latest  Outcome
+	Earlier History
+}
+
 // History has the outcomes of the moves of a service before the latest one, by position, as
 // far as they decide which versions get calls: that of the last move that succeeded or, if
 // none did, that of the last move to each version. It is immutable.
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -25,14 +26,24 @@
 // moveState is a version move and how far this daemon has processed it.
 type moveState struct {
 	move *canary.Move
-	// endedAt is when the phase became final at this daemon.
-	endedAt clock.Milli
-	// statusStored is set once the final status is in the store.
+	// changedAt is when this daemon received the order or, later, the final phase.
+	changedAt clock.Milli
+	// orderStored is set once the store has a status that names the order, statusStored once
+	// it has the final one.
+	orderStored  bool
 	statusStored bool
-	// lastWriteAt is when this daemon last tried to store the final status.
+	// lastWriteAt is when this daemon last tried to store the status.
 	lastWriteAt clock.Milli
 }
 
+// isStored reports whether the store has the current phase.
+func (s *moveState) isStored() bool {
+	if s.move.Phase() == canary.Running {
+		return s.orderStored
+	}
+	return s.statusStored
+}
+
 // moveTracker evaluates the version moves that operators ordered.
 type moveTracker struct {
 	self  string
@@ -43,15 +54,22 @@
 	// change.
 	notifyPeers func()
 
+	// complete is set once this daemon has the outcomes of all earlier moves that decide which
+	// versions get calls.
+	complete atomic.Bool
+
 	mu sync.Mutex
 	// byService has the latest move of each service.
 	byService map[string]*moveState
+	// loadedAt is when this daemon received its first orders.
+	loadedAt clock.Milli
 }
 
 // applyOrders starts the moves that are ordered in o and newer than the known ones.
 func (m *moveTracker) applyOrders(o *order.ActiveSet) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.recordFirstOrders(len(o.Moves))
 	for service, ord := range o.Moves {
 		old := m.byService[service]
 		if old != nil && old.move.Order().Position >= ord.Position {
@@ -65,18 +83,18 @@
 		if old != nil {
 			earlier = old.move.Earlier().With(old.move.Outcome())
 		}
-		m.byService[service] = &moveState{move: canary.New(ord, canary.WithEarlier(earlier))}
+		m.byService[service] = &moveState{move: canary.New(ord, canary.WithEarlier(earlier)), changedAt: m.clock.Now()}
 		m.log.Info().Str("service", service).Str("version", ord.Version).Stringer("earlier", earlier).
 			Float64("within_ms", float64(ord.MaxDuration)).Msg("version_move_ordered")
 	}
 }
 
 // repeatMove continues a move whose order was written again after a restore of the store. The
-// restore may have lost its final status, so it is written again too. The caller holds the
+// restore may have lost its status, so it is written again too. The caller holds the
 // lock.
 func (m *moveTracker) repeatMove(service string, s *moveState, ord order.Move) {
 	s.move.RepeatOrder(ord)
-	s.statusStored, s.endedAt = false, m.clock.Now()
+	s.orderStored, s.statusStored, s.changedAt = false, false, m.clock.Now()
 	m.log.Info().Str("service", service).Str("version", ord.Version).Str("phase", s.move.Phase().String()).Msg("version_move_repeated")
 }
 
@@ -177,7 +195,7 @@
 	return changed
 }
 
-// recordProgress logs a completed step or the end of a move and sets endedAt at the
+// recordProgress logs a completed step or the end of a move and sets changedAt at the
 // end.
 func (m *moveTracker) recordProgress(s *moveState, now clock.Milli) {
 	ord := s.move.Order()
@@ -189,7 +207,7 @@
 		event.Float64("share", s.move.Share()).Float64("age_ms", float64(now-ord.ReceivedAt)).Msg("version_move_grew")
 		return
 	}
-	s.endedAt = now
+	s.changedAt = now
 	event.Str("phase", s.move.Phase().String()).Str("why", s.move.PhaseReason()).Msg("version_move_ended")
 }
 
--- a/internal/node/mesh/moves_test.go
+++ b/internal/node/mesh/moves_test.go
@@ -102,7 +102,7 @@
 	now := from.moves.clock.Now()
 	before := to.moves.serviceSplit(moveService).share
 	from.moves.byService[moveService].move.MergeStep(2, now)
-	to.moves.merge(now, from.moves.encode(now))
+	to.moves.merge(now, from.moves.encode(now), false)
 	g.Expect(to.moves.serviceSplit(moveService).share).To(BeNumerically(">", before))
 	g.Expect(to.moves.serviceSplit(moveService).share).To(Equal(from.moves.serviceSplit(moveService).share))
 }
@@ -155,7 +155,7 @@
 	m.applyOrders(&order.ActiveSet{Moves: map[string]order.Move{moveService: again}})
 	g.Expect(m.byService[moveService].move.Phase()).To(Equal(canary.RolledBack))
 	g.Expect(m.movesToStore(m.clock.Now() + writeTurnDelay)).To(HaveLen(1))
-	m.merge(m.clock.Now(), []*wire.MoveState{{Service: moveService, Offset: 1, Phase: uint32(canary.RolledBack) | statusStoredBit}})
+	m.merge(m.clock.Now(), []*wire.MoveState{{Service: moveService, Offset: 1, Phase: uint32(canary.RolledBack) | statusStoredBit}}, false)
 	g.Expect(m.byService[moveService].statusStored).To(BeFalse())
 	again.Position, again.Repeats = feed.NewPosition(1, 2), false
 	m.applyOrders(&order.ActiveSet{Moves: map[string]order.Move{moveService: again}})
--- a/internal/node/mesh/movesync.go
+++ b/internal/node/mesh/movesync.go
@@ -30,7 +30,7 @@
 	step, at := s.move.LastStep()
 	out := &wire.MoveState{
 		Service: service, Offset: int64(ord.Position), AgeMs: float64(now - ord.ReceivedAt), Phase: phase,
-		Step: uint32(step), StepAgeMs: float64(now - at), Version: ord.Version,
+		Step: uint32(step), StepAgeMs: float64(now - at), Version: ord.Version, OrderStored: s.orderStored,
 	}
 	for _, o := range s.move.Earlier() {
 		out.Earlier = append(out.Earlier, &wire.MoveOutcome{Offset: int64(o.Position), Version: o.Version, Phase: uint32(o.Phase)})
@@ -51,33 +51,41 @@
 }
 
 // merge adopts the progress that a peer reports of moves with the same order, and the outcomes
-// of earlier ones.
-func (m *moveTracker) merge(now clock.Milli, in []*wire.MoveState) {
+// of earlier ones. Complete says that the peer has all of these.
+func (m *moveTracker) merge(now clock.Milli, in []*wire.MoveState, complete bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, w := range in {
 		s := m.byService[w.GetService()]
+		if s == nil || int64(s.move.Order().Position) < w.GetOffset() {
+			// Outcomes of moves before an order that this daemon lacks would be lost.
+			complete = false
+		}
 		if s == nil {
 			continue
 		}
 		for _, o := range decodeOutcomes(w) {
-			m.mergeOutcome(now, s, o)
+			m.mergeOutcome(now, s, o, "reported by a peer")
 		}
 		if int64(s.move.Order().Position) == w.GetOffset() {
 			s.move.MergeStart(now - clock.Milli(w.GetAgeMs()))
 			s.move.MergeStep(int(w.GetStep()), now-clock.Milli(w.GetStepAgeMs()))
+			s.orderStored = s.orderStored || w.GetOrderStored()
 			s.statusStored = s.statusStored || w.GetPhase()&statusStoredBit != 0
 		}
 	}
+	if complete && m.loadedAt > 0 {
+		m.complete.Store(true)
+	}
 }
 
 // mergeOutcome adopts the outcome of the latest move of a service or of an earlier one. The
 // caller holds the lock.
-func (m *moveTracker) mergeOutcome(now clock.Milli, s *moveState, o canary.Outcome) {
+func (m *moveTracker) mergeOutcome(now clock.Milli, s *moveState, o canary.Outcome, reason string) {
 	ord := s.move.Order()
 	switch {
 	case o.Position == ord.Position:
-		if s.move.SetFinalPhase(o.Phase, "reported by a peer") {
+		if s.move.SetFinalPhase(o.Phase, reason) {
 			m.recordProgress(s, now)
 		}
 	case o.Version == "":
@@ -86,3 +94,25 @@
 		m.log.Info().Str("service", ord.Service).Str("version", ord.Version).Stringer("earlier", s.move.Earlier()).Msg("version_move_history")
 	}
 }
+
+// mergeStatus adopts the status in the store of the latest move of a service. The caller holds
+// the lock.
+func (m *moveTracker) mergeStatus(now clock.Milli, s *moveState, stored canary.Status) {
+	const reason = "found in the store"
+	for _, o := range stored.Earlier {
+		m.mergeOutcome(now, s, o, reason)
+	}
+	latest := stored.Latest
+	if !latest.IsOf(s.move.Order()) {
+		m.mergeOutcome(now, s, latest, reason)
+		return
+	}
+	s.orderStored = true
+	if latest.Phase == canary.Running {
+		return
+	}
+	s.statusStored = true
+	if s.move.SetFinalPhase(latest.Phase, reason) {
+		m.recordProgress(s, now)
+	}
+}
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -155,7 +155,7 @@
 		guard.WithPreAdmissionHook(n.refreshSlowdown), guard.WithIdleTimeout(upstreamIdleTimeout), guard.WithRequestErrorHandler(n.handleRequestError),
 		guard.WithSampleHandler(n.recordUpstream), guard.WithBreakHandler(n.crashes.handleBreak), guard.WithRefusalHandler(n.recordRefusal))...)
 	n.entry = entry.New(n.self, n.clock, n.pool, n.table, &rules{registry: n.registry, moves: n.moves},
-		entry.WithLogger(n.log), entry.WithGate(n.gate), entry.WithProtocol(p.CallerProtocol(n.routes)), entry.WithNoTargetReason(call.ReasonNoTarget),
+		entry.WithLogger(n.log), entry.WithGate(n.gate), entry.WithProtocol(p.CallerProtocol(n.callerRoutes)), entry.WithNoTargetReason(call.ReasonNoTarget),
 		entry.WithPicker(newPicker), entry.WithRetrier(n.newRetrier), entry.WithProbeRate(0), entry.WithBodyLimits(maxBufferedBodyBytes, maxInlineBodyBytes),
 		entry.WithSummaryHandler(n.recordCall), entry.WithQuarantine(n.crashes), entry.WithLatestDeadline(n.lifecycle.latestDeadline))
 	self := peers.Record{
--- a/internal/node/mesh/platform.go
+++ b/internal/node/mesh/platform.go
@@ -86,7 +86,8 @@
 	Directives string
 	// Peers has one record of each daemon.
 	Peers string
-	// Status has the final status of version moves, for operators.
+	// Status has the status of the latest version move of each service, for operators and for
+	// daemons that start.
 	Status string
 	// Usage has the lease and the settled counts of the duty to report usage.
 	Usage string
@@ -111,8 +112,8 @@
 	DecodeDirective(key string, value []byte) (order.Directive, error)
 	// StatusKey returns the key in the status topic for a service's version move.
 	StatusKey(service string) string
-	EncodeStatus(o canary.Outcome) ([]byte, error)
-	DecodeStatus(value []byte) (canary.Outcome, error)
+	EncodeStatus(s canary.Status) ([]byte, error)
+	DecodeStatus(value []byte) (canary.Status, error)
 	// CallerProtocol returns the protocol of callers. The table function returns the
 	// routes in force, nil before the first configuration.
 	CallerProtocol(table func() *route.Table) entry.Protocol
--- a/internal/node/mesh/routes.go
+++ b/internal/node/mesh/routes.go
@@ -15,6 +15,15 @@
 	return n.registry.Current().Table
 }
 
+// callerRoutes returns the routes for callers, nil before the first configuration and while this
+// daemon lacks the outcomes of earlier version moves.
+func (n *Node) callerRoutes() *route.Table {
+	if n.moves.awaitsHistory() {
+		return nil
+	}
+	return n.routes()
+}
+
 // ownService returns the service of the upstream beside the daemon in the routes in force,
 // the zero Service if there is none.
 func (n *Node) ownService() route.Service {
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -137,7 +137,7 @@
 	req := &wire.ShareRequest{
 		Member: self.ID, OrdersEnd: int64(s.registry.End()), OrdersHash: s.registry.Hash(), PeersHash: s.table.Hash(), Moves: s.moves.encode(now),
 		Self: self.Encode(), Store: s.view.encode(), CrashesHash: s.crashes.hash(),
-		PeersBuckets: buckets,
+		PeersBuckets: buckets, MovesComplete: s.moves.complete.Load(),
 	}
 	payload, err := proto.Marshal(req)
 	if err != nil {
@@ -169,7 +169,7 @@
 	// Orders must be applied before records: an upstream of a new version must
 	// not get calls before the order of its move is in force.
 	s.applyOrders(id, r)
-	s.moves.merge(s.clock.Now(), r.GetMoves())
+	s.moves.merge(s.clock.Now(), r.GetMoves(), r.GetMovesComplete())
 	s.crashes.merge(r.GetCrashes())
 	for _, p := range r.GetPeers() {
 		s.mergePeer(peers.Decode(p))
@@ -198,8 +198,8 @@
 	s.view.observe(req.GetMember(), req.GetStore())
 	now := s.clock.Now()
 	s.pullIfBehind(now, req.GetMember(), orderState{end: feed.Position(req.GetOrdersEnd()), hash: req.GetOrdersHash()})
-	s.moves.merge(now, req.GetMoves())
-	reply := &wire.ShareReply{OrdersEnd: int64(s.registry.End()), Moves: s.moves.encode(now), Store: s.view.encode()}
+	s.moves.merge(now, req.GetMoves(), req.GetMovesComplete())
+	reply := &wire.ShareReply{OrdersEnd: int64(s.registry.End()), Moves: s.moves.encode(now), MovesComplete: s.moves.complete.Load(), Store: s.view.encode()}
 	s.addPeers(reply, req)
 	if req.GetCrashesHash() != s.crashes.hash() {
 		reply.Crashes = s.crashes.encode()
--- a/internal/node/mesh/statuswriter.go
+++ b/internal/node/mesh/statuswriter.go
@@ -8,7 +8,6 @@
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/conf/feed"
-	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/canary"
 )
 
@@ -24,7 +23,8 @@
 	statusRetryDelay = 500 * clock.Millisecond
 )
 
-// statusWriter writes the final status of version moves to the store.
+// statusWriter writes the status of version moves to the store: when one is ordered, so that
+// the status of an earlier one no longer counts, and at its end.
 type statusWriter struct {
 	moves    *moveTracker
 	platform Platform
@@ -32,9 +32,7 @@
 	// mayRestore reports whether this daemon reads the stored statuses. The others get
 	// the phases of moves from peers.
 	mayRestore func(now clock.Milli) bool
-	// restored is set once the stored statuses were read; lastRestoreAt is the end of
-	// the last attempt.
-	restored      bool
+	// lastRestoreAt is the end of the last attempt to read the stored statuses.
 	lastRestoreAt clock.Milli
 }
 
@@ -47,16 +45,16 @@
 	return clock.Every(ctx, statusInterval, func() {
 		now := w.moves.clock.Now()
 		w.restoreOnce(ctx, now)
-		for _, s := range w.moves.movesToStore(now) {
-			w.write(ctx, s)
+		for _, service := range w.moves.movesToStore(now) {
+			w.write(ctx, service)
 		}
 	})
 }
 
 // restoreOnce restores the stored statuses once after the start, as soon as a move is
-// known.
+// known, unless a peer has reported the outcomes of all moves.
 func (w *statusWriter) restoreOnce(ctx context.Context, now clock.Milli) {
-	if w.restored || !w.moves.hasMoves() || !w.mayRestore(now) || now-w.lastRestoreAt < statusRetryDelay {
+	if w.moves.complete.Load() || !w.moves.hasMoves() || !w.mayRestore(now) || now-w.lastRestoreAt < statusRetryDelay {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
@@ -67,7 +65,7 @@
 		w.moves.log.Warn().Err(err).Msg("statuses_not_read")
 		return
 	}
-	w.restored = true
+	w.moves.complete.Store(true)
 }
 
 func (m *moveTracker) hasMoves() bool {
@@ -76,80 +74,103 @@
 	return len(m.byService) > 0
 }
 
-// movesToStore returns the ended moves whose status this daemon should write now.
-func (m *moveTracker) movesToStore(now clock.Milli) []*moveState {
+// movesToStore returns the services with a move whose status this daemon should write now.
+func (m *moveTracker) movesToStore(now clock.Milli) []string {
 	linked := m.table.LinkedIDs()
 	position, _ := slices.BinarySearch(linked, m.self)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []*moveState
-	for _, s := range m.byService {
-		if s.move.Phase() == canary.Running || s.statusStored || now-s.lastWriteAt < statusRetryDelay {
+	var out []string
+	for service, s := range m.byService {
+		if s.isStored() || now-s.lastWriteAt < statusRetryDelay {
 			continue
 		}
-		if now-s.endedAt >= clock.Milli(position)*writeTurnDelay {
+		if now-s.changedAt >= clock.Milli(position)*writeTurnDelay {
 			s.lastWriteAt = now
-			out = append(out, s)
+			out = append(out, service)
 		}
 	}
 	return out
 }
 
-// write stores the final status of a move and logs the result.
-func (w *statusWriter) write(ctx context.Context, s *moveState) {
+// write stores the status of a service's move and logs the result.
+func (w *statusWriter) write(ctx context.Context, service string) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout.Duration())
 	defer cancel()
 	m := w.moves
-	m.mu.Lock()
-	ord, outcome := s.move.Order(), s.move.Outcome()
-	m.mu.Unlock()
-	err := w.writeStatus(ctx, ord, outcome)
+	b, err := w.store.Newest(ctx, w.platform.Topics().Status)
 	if err != nil {
-		m.log.Warn().Str("service", ord.Service).Str("phase", outcome.Phase.String()).Err(err).Msg("status_not_written")
+		m.log.Warn().Str("service", service).Err(err).Msg("status_not_written")
 		return
 	}
-	m.log.Info().Str("service", ord.Service).Str("phase", outcome.Phase.String()).Msg("status_written")
-	m.mu.Lock()
-	s.statusStored = true
-	m.mu.Unlock()
+	status, needed := w.statusToWrite(b, service)
+	if needed {
+		err = w.append(ctx, service, status, b.End)
+	}
+	phase := status.Latest.Phase
+	if err != nil {
+		m.log.Warn().Str("service", service).Stringer("phase", phase).Err(err).Msg("status_not_written")
+		return
+	}
+	m.log.Info().Str("service", service).Stringer("phase", phase).Bool("found", !needed).Msg("status_written")
+	m.markStored(service, status.Latest)
 	m.notifyPeers()
 }
 
-// writeStatus appends the final status, unless the store has one of the same order.
-func (w *statusWriter) writeStatus(ctx context.Context, ord order.Move, outcome canary.Outcome) error {
-	topic := w.platform.Topics().Status
-	b, err := w.store.Newest(ctx, topic)
-	if err != nil {
-		return err
-	}
-	if stored, ok := w.findStatus(b, ord.Service); ok && stored.IsOf(ord) && stored.Phase != canary.Running {
-		return nil
+// statusToWrite merges the stored status of a service and returns the one to write, and whether
+// the store lacks it. It may have one of a later order, which this daemon has not received.
+func (w *statusWriter) statusToWrite(b feed.Batch, service string) (status canary.Status, needed bool) {
+	stored, found := w.findStatus(b, service)
+	m := w.moves
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.byService[service]
+	if found {
+		m.mergeStatus(m.clock.Now(), s, stored)
 	}
-	value, err := w.platform.EncodeStatus(outcome)
+	status = s.move.Status()
+	isLater := found && stored.Latest.Position > status.Latest.Position
+	return status, !s.isStored() && !isLater
+}
+
+// append adds a status to the topic if that ends at a position.
+func (w *statusWriter) append(ctx context.Context, service string, status canary.Status, at feed.Position) error {
+	value, err := w.platform.EncodeStatus(status)
 	if err != nil {
 		return err
 	}
-	_, err = w.store.Append(ctx, topic, feed.Item{Key: w.platform.StatusKey(ord.Service), Value: value}, b.End)
+	_, err = w.store.Append(ctx, w.platform.Topics().Status, feed.Item{Key: w.platform.StatusKey(service), Value: value}, at)
 	return err
 }
 
-// findStatus returns the stored status of the latest move of a service, false if there is no
-// readable one.
-func (w *statusWriter) findStatus(b feed.Batch, service string) (canary.Outcome, bool) {
+// markStored records that the store has the outcome of a service's move.
+func (m *moveTracker) markStored(service string, o canary.Outcome) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.byService[service]
+	if s.move.Order().Position != o.Position {
+		return
+	}
+	s.orderStored = true
+	s.statusStored = s.statusStored || o.Phase != canary.Running
+}
+
+// findStatus returns the stored status of a service, false if there is no readable one.
+func (w *statusWriter) findStatus(b feed.Batch, service string) (canary.Status, bool) {
 	key := w.platform.StatusKey(service)
 	i := slices.IndexFunc(b.Items, func(item feed.Item) bool { return item.Key == key })
 	if i < 0 {
-		return canary.Outcome{}, false
+		return canary.Status{}, false
 	}
 	stored, err := w.platform.DecodeStatus(b.Items[i].Value)
 	if err != nil {
 		w.moves.log.Warn().Str("key", key).Err(err).Msg("status_unreadable")
-		return canary.Outcome{}, false
+		return canary.Status{}, false
 	}
 	return stored, true
 }
 
-// restore applies the final statuses in the store to the known moves.
+// restore applies the statuses in the store to the known moves.
 func (w *statusWriter) restore(ctx context.Context) error {
 	b, err := w.store.Newest(ctx, w.platform.Topics().Status)
 	if err != nil {
@@ -159,10 +180,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for service, s := range m.byService {
-		stored, ok := w.findStatus(b, service)
-		if ok && stored.IsOf(s.move.Order()) && s.move.SetFinalPhase(stored.Phase, "found in the store") {
-			s.statusStored = true
-			m.recordProgress(s, m.clock.Now())
+		if stored, ok := w.findStatus(b, service); ok {
+			m.mergeStatus(m.clock.Now(), s, stored)
 		}
 	}
 	return nil
--- a/internal/node/mesh/stop.go
+++ b/internal/node/mesh/stop.go
@@ -50,6 +50,8 @@
 		return errors.New("the daemon is stopping")
 	case n.routes() == nil:
 		return errors.New("no configuration is in force")
+	case n.moves.awaitsHistory():
+		return errors.New("the outcomes of earlier version moves are not known")
 	default:
 		return nil
 	}
