guard: refuse responses without a valid status

An unrequested 101 reached the caller as 101, and 600 and 999 as they were.

Cause: net/http parses any three characters that are a number as a status and returns 101 as a final response. Neither guard nor entry checked the code.

Change: the guard takes a status outside 200 to 599 for an invalid response: the outcome is unknown, the caller gets 502 (reason invalid_answer), and the connection is closed.

TestMismatchedResponses "status 000" (a guard that passes it on) failed before.

--- a/internal/path/entry/attempt.go
+++ b/internal/path/entry/attempt.go
@@ -122,6 +122,9 @@
 			if !a.matchesRequest(b.ReplyHead.GetId()) {
 				return a.failureResult(call.OutcomeUnknown, call.ReasonLinkBroken)
 			}
+			if !header.IsFinalStatus(int(b.ReplyHead.GetStatus())) {
+				return a.failureResult(call.OutcomeUnknown, call.ReasonInvalidAnswer)
+			}
 			a.head = b.ReplyHead
 			return a.responseResult()
 		default:
--- a/internal/path/entry/failure_test.go
+++ b/internal/path/entry/failure_test.go
@@ -165,6 +165,9 @@
 		"end with wrong length": {frames: func(id []byte) []*wire.Frame { return []*wire.Frame{head(id), data, end(id, 3)} }, truncated: true},
 		"no end":                {frames: func(id []byte) []*wire.Frame { return []*wire.Frame{head(id), data} }, truncated: true},
 		"body without head":     {frames: func(id []byte) []*wire.Frame { return []*wire.Frame{data, end(id, 2)} }, status: 502},
+		"status 000": {frames: func(id []byte) []*wire.Frame {
+			return []*wire.Frame{{Body: &wire.Frame_ReplyHead{ReplyHead: &wire.ReplyHead{Id: id, ContentLength: 2}}}, data, end(id, 2)}
+		}, status: 502},
 		"length disagrees with the head": {frames: func(id []byte) []*wire.Frame {
 			return []*wire.Frame{head(id), data, data, end(id, 4)}
 		}, truncated: true},
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -110,7 +111,7 @@
 // call for the admitter.
 func (x *exchange) recordResponse(resp *http.Response) ResponseInfo {
 	x.status = resp.StatusCode
-	info := x.stream.guard.protocol.ParseResponse(resp, x.request)
+	info := x.parseResponse(resp)
 	x.result.Latency = x.stream.guard.clock.Now() - x.dispatchedAt
 	x.result.Failed = resp.StatusCode >= http.StatusInternalServerError
 	x.result.NewConnection = !x.trace.reused.Load()
@@ -122,6 +123,13 @@
 	return info
 }
 
+func (x *exchange) parseResponse(resp *http.Response) ResponseInfo {
+	if !header.IsFinalStatus(resp.StatusCode) {
+		return ResponseInfo{InvalidReason: fmt.Sprintf("status %03d is not that of a response", resp.StatusCode)}
+	}
+	return x.stream.guard.protocol.ParseResponse(resp, x.request)
+}
+
 // refuseResponse refuses a call whose response says that the upstream did not run
 // it, or is invalid.
 func (x *exchange) refuseResponse(info ResponseInfo) bool {
