guard: detect responses that are cut during an upload

What callers got (MIXED, seen on other systems): an upstream answers a long upload at once with a 200 that has no length, sends a part of its body and resets the connection while the upload is still being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset once, to the next read or write. If the write of the upload gets the error, the read of the response ends like that of a connection that was closed in order, and that is how a response without a length ends.

Change: the guard keeps whether a write to the connection has failed. When a response that ends with its connection ends, it ends the write in progress, which then has an error of its own if it had taken that of the reset. If a write failed, the response is cut: 502 with the outcome unknown, or a broken transfer if its head has been sent. A response that ends in order while the upload continues is still passed on, as is any one with a length or in chunks.

--- a/internal/bench/inproc/upstream.go
+++ b/internal/bench/inproc/upstream.go
@@ -13,6 +13,26 @@
 // its body, and returns the upstream's address. serve writes the raw response and
 // returns false to close the connection.
 func RawUpstream(tb testing.TB, serve func(c *net.TCPConn, r *http.Request) bool) string {
+	tb.Helper()
+	return startRawUpstream(tb, func(c *net.TCPConn, r *http.Request) bool {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return false
+		}
+		return serve(c, r)
+	})
+}
+
+// EarlyUpstream is RawUpstream for responses that begin before the body of the request is
+// read. serve may read the body, and the connection is closed afterwards.
+func EarlyUpstream(tb testing.TB, serve func(c *net.TCPConn, r *http.Request)) string {
+	tb.Helper()
+	return startRawUpstream(tb, func(c *net.TCPConn, r *http.Request) bool {
+		serve(c, r)
+		return false
+	})
+}
+
+func startRawUpstream(tb testing.TB, serve func(c *net.TCPConn, r *http.Request) bool) string {
 	tb.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -67,9 +87,6 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
 		tcp, _ := c.(*net.TCPConn)
 		if !u.serve(tcp, r) {
 			return
--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -72,6 +72,9 @@
 	if info := x.recordResponse(resp); info.NotRun || info.InvalidReason != "" {
 		return x.refuseResponse(info)
 	}
+	if endsWithConn(resp) {
+		resp.Body = &connBody{ReadCloser: resp.Body, conn: x.trace.conn.Load()}
+	}
 	ok = x.forwardResponse(resp)
 	g.recordSample(Sample{Request: x.request, Status: x.status, Failed: x.result.Failed, Latency: x.result.Latency})
 	return ok
--- a/internal/path/guard/response_test.go
+++ b/internal/path/guard/response_test.go
@@ -1,10 +1,12 @@
 package guard_test
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -31,3 +33,71 @@
 		})
 	}
 }
+
+// earlyHead begins a response of unknown length, which ends with the connection.
+const earlyHead = "HTTP/1.1 200 OK\r\n\r\n"
+
+// earlyPart is the part of the response that the upstream sends.
+var earlyPart = bytes.Repeat([]byte("x"), 800)
+
+// slowReader returns its data in small parts.
+type slowReader struct{ data io.Reader }
+
+func (s slowReader) Read(p []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return s.data.Read(p[:min(len(p), 8<<10)])
+}
+
+// Guards against a part of a response that is passed on as a whole one: the upstream resets
+// the connection while the upload is still being written, and the write consumes the error, so
+// that the read ends like that of a closed connection.
+func TestResponseIsCutDuringUpload(t *testing.T) {
+	const mib = 1 << 20
+	upload := func(size int) io.Reader { return bytes.NewReader(make([]byte, size)) }
+	tests := map[string]struct {
+		body func() io.Reader
+		runs int
+	}{
+		"long":    {func() io.Reader { return upload(8 * mib) }, 100},
+		"slow":    {func() io.Reader { return slowReader{upload(400 << 10)} }, 20},
+		"chunked": {func() io.Reader { return io.MultiReader(upload(900 << 10)) }, 50},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			harness := inproc.New(t)
+			harness.AddNode(inproc.NodeSpec{UpstreamAddr: inproc.EarlyUpstream(t, func(c *net.TCPConn, r *http.Request) {
+				_, _ = io.CopyN(io.Discard, r.Body, 64<<10)
+				_, _ = c.Write(append([]byte(earlyHead), earlyPart...))
+				time.Sleep(2 * time.Millisecond)
+				_ = c.SetLinger(0)
+			})})
+			whole := 0
+			for range tt.runs {
+				r := harness.Do(harness.Request(http.MethodPost, "/", tt.body()))
+				if r.Err == nil && r.Status == http.StatusOK {
+					whole++
+				}
+			}
+			NewWithT(t).Expect(whole).To(BeZero())
+		})
+	}
+}
+
+// Guards against the loss of a response that ends in order before the upload does.
+func TestResponseEndsDuringUpload(t *testing.T) {
+	const size = 4 << 20
+	g := NewWithT(t)
+	harness := inproc.New(t)
+	harness.AddNode(inproc.NodeSpec{UpstreamAddr: inproc.EarlyUpstream(t, func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.CopyN(io.Discard, r.Body, 64<<10)
+		_, _ = c.Write(append([]byte(earlyHead), earlyPart...))
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, r.Body)
+	})})
+	for range 20 {
+		r := harness.Do(harness.Request(http.MethodPost, "/", bytes.NewReader(make([]byte, size))))
+		g.Expect(r.Err).NotTo(HaveOccurred())
+		g.Expect(r.Status).To(Equal(http.StatusOK))
+		g.Expect(r.Body).To(Equal(earlyPart))
+	}
+}
--- a/internal/path/guard/upstream.go
+++ b/internal/path/guard/upstream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -32,7 +31,7 @@
 func newUpstream(addr string, connections int) *upstream {
 	u := &upstream{baseURL: "http://" + addr}
 	u.transport = &http.Transport{
-		DialContext:            dialCountingConn,
+		DialContext:            dialUpstream,
 		MaxConnsPerHost:        connections,
 		MaxIdleConnsPerHost:    connections,
 		IdleConnTimeout:        idleTimeout.Duration(),
@@ -49,42 +48,16 @@
 	return p
 }
 
-// countingConn counts the bytes written, which shows whether a failed request can
-// have reached the upstream.
-type countingConn struct {
-	net.Conn
-	written       atomic.Int64
-	writesBlocked atomic.Bool
-}
-
-// Write implements net.Conn.
-func (c *countingConn) Write(b []byte) (int, error) {
-	c.written.Add(int64(len(b)))
-	if c.writesBlocked.Load() {
-		return 0, net.ErrClosed
-	}
-	return c.Conn.Write(b)
-}
-
-func dialCountingConn(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout.Duration()}
-	conn, err := d.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn}, nil
-}
-
 // connTrace records the connection of one request and the bytes that were written
 // to it before the request.
 type connTrace struct {
-	conn          atomic.Pointer[countingConn]
+	conn          atomic.Pointer[upstreamConn]
 	writtenBefore atomic.Int64
 	reused        atomic.Bool
 }
 
 func (t *connTrace) gotConn(info httptrace.GotConnInfo) {
-	c, ok := info.Conn.(*countingConn)
+	c, ok := info.Conn.(*upstreamConn)
 	if !ok {
 		return
 	}
