--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -22,20 +23,27 @@
 	evaluationInterval = 100 * clock.Millisecond
 )
 
-// statusStoredBit is set in an encoded phase if the final status is in the store.
-const statusStoredBit = 4
-
 // moveState is a version move and how far this daemon has processed it.
 type moveState struct {
 	move *canary.Move
-	// endedAt is when the phase became final at this daemon.
-	endedAt clock.Milli
-	// statusStored is set once the final status is in the store.
+	// changedAt is when this daemon received the order or, later, the final phase.
+	changedAt clock.Milli
+	// orderStored is set once the store has a status that names the order, statusStored once
+	// it has the final one.
+	orderStored  bool
 	statusStored bool
-	// lastWriteAt is when this daemon last tried to store the final status.
+	// lastWriteAt is when this daemon last tried to store the status.
 	lastWriteAt clock.Milli
 }
 
+// isStored reports whether the store has the current phase.
+func (s *moveState) isStored() bool {
+	if s.move.Phase() == canary.Running {
+		return s.orderStored
+	}
+	return s.statusStored
+}
+
 // moveTracker evaluates the version moves that operators ordered.
 type moveTracker struct {
 	self  string
@@ -46,15 +54,22 @@
 	// change.
 	notifyPeers func()
 
+	// complete is set once this daemon has the outcomes of all earlier moves that decide which
+	// versions get calls.
+	complete atomic.Bool
+
 	mu sync.Mutex
 	// byService has the latest move of each service.
 	byService map[string]*moveState
+	// loadedAt is when this daemon received its first orders.
+	loadedAt clock.Milli
 }
 
 // applyOrders starts the moves that are ordered in o and newer than the known ones.
 func (m *moveTracker) applyOrders(o *order.ActiveSet) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.recordFirstOrders(len(o.Moves))
 	for service, ord := range o.Moves {
 		old := m.byService[service]
 		if old != nil && old.move.Order().Position >= ord.Position {
@@ -64,18 +79,22 @@
 			m.repeatMove(service, old, ord)
 			continue
 		}
-		m.byService[service] = &moveState{move: canary.New(ord)}
-		m.log.Info().Str("service", service).Str("version", ord.Version).
+		var earlier canary.History
+		if old != nil {
+			earlier = old.move.Earlier().With(old.move.Outcome())
+		}
+		m.byService[service] = &moveState{move: canary.New(ord, canary.WithEarlier(earlier)), changedAt: m.clock.Now()}
+		m.log.Info().Str("service", service).Str("version", ord.Version).Stringer("earlier", earlier).
 			Float64("within_ms", float64(ord.MaxDuration)).Msg("version_move_ordered")
 	}
 }
 
 // repeatMove continues a move whose order was written again after a restore of the store. The
-// restore may have lost its final status, so it is written again too. The caller holds the
+// restore may have lost its status, so it is written again too. The caller holds the
 // lock.
 func (m *moveTracker) repeatMove(service string, s *moveState, ord order.Move) {
 	s.move.RepeatOrder(ord)
-	s.statusStored, s.endedAt = false, m.clock.Now()
+	s.orderStored, s.statusStored, s.changedAt = false, false, m.clock.Now()
 	m.log.Info().Str("service", service).Str("version", ord.Version).Str("phase", s.move.Phase().String()).Msg("version_move_repeated")
 }
 
@@ -116,7 +135,9 @@
 	if s == nil {
 		return nil
 	}
-	return &trafficSplit{version: s.move.Order().Version, share: s.move.Share(), final: s.move.Phase() != canary.Running}
+	return &trafficSplit{
+		version: s.move.Order().Version, share: s.move.Share(), final: s.move.Phase() != canary.Running, earlier: s.move.Earlier(),
+	}
 }
 
 // targetIDs returns the ids of the targets of a version.
@@ -169,24 +190,24 @@
 			continue
 		}
 		changed = true
-		m.recordProgress(service, s, now)
+		m.recordProgress(s, now)
 	}
 	return changed
 }
 
-// recordProgress logs a completed step or the end of a move and sets endedAt at the
+// recordProgress logs a completed step or the end of a move and sets changedAt at the
 // end.
-func (m *moveTracker) recordProgress(service string, s *moveState, now clock.Milli) {
+func (m *moveTracker) recordProgress(s *moveState, now clock.Milli) {
 	ord := s.move.Order()
 	evidence := s.move.Evidence()
-	event := m.log.Info().Str("service", service).Str("version", ord.Version).
+	event := m.log.Info().Str("service", ord.Service).Str("version", ord.Version).
 		Uint64("answers", evidence.Answers).Uint64("bad", evidence.Bad).
 		Float64("expected_bad", evidence.Expected).Float64("probability", evidence.Probability)
 	if s.move.Phase() == canary.Running {
 		event.Float64("share", s.move.Share()).Float64("age_ms", float64(now-ord.ReceivedAt)).Msg("version_move_grew")
 		return
 	}
-	s.endedAt = now
+	s.changedAt = now
 	event.Str("phase", s.move.Phase().String()).Str("why", s.move.PhaseReason()).Msg("version_move_ended")
 }
 
@@ -200,41 +221,3 @@
 	}
 	return canary.Evidence{}
 }
-
-// encode returns the moves as sent to peers, with times as ages.
-func (m *moveTracker) encode(now clock.Milli) []*wire.MoveState {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := make([]*wire.MoveState, 0, len(m.byService))
-	for service, s := range m.byService {
-		phase := uint32(s.move.Phase())
-		if s.statusStored {
-			phase |= statusStoredBit
-		}
-		ord := s.move.Order()
-		step, at := s.move.LastStep()
-		out = append(out, &wire.MoveState{
-			Service: service, Offset: int64(ord.Position), AgeMs: float64(now - ord.ReceivedAt), Phase: phase,
-			Step: uint32(step), StepAgeMs: float64(now - at),
-		})
-	}
-	return out
-}
-
-// merge adopts the progress that a peer reports of moves with the same order.
-func (m *moveTracker) merge(now clock.Milli, in []*wire.MoveState) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, w := range in {
-		s := m.byService[w.GetService()]
-		if s == nil || int64(s.move.Order().Position) != w.GetOffset() {
-			continue
-		}
-		s.move.MergeStart(now - clock.Milli(w.GetAgeMs()))
-		s.move.MergeStep(int(w.GetStep()), now-clock.Milli(w.GetStepAgeMs()))
-		if s.move.SetFinalPhase(canary.Phase(w.GetPhase()&^statusStoredBit), "reported by a peer") {
-			m.recordProgress(w.GetService(), s, now)
-		}
-		s.statusStored = s.statusStored || w.GetPhase()&statusStoredBit != 0
-	}
-}
