mesh: let the stored phase of a move overrule others

After a stored success the old upstreams end, and daemons with a rollback have no upstream left that they may use.

Cause: a final phase was never replaced, and the writer of the status took any final status of the order for its own.

Change: the first final phase that reaches the store counts. A daemon adopts it from the store, or from a peer whose phase is stored, whatever it had.

--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -146,8 +146,18 @@
 	m.order.ReceivedAt = min(m.order.ReceivedAt, at)
 }
 
+// SetStoredPhase sets the final phase that the store has. It reports whether the phase changed,
+// also if this or another daemon had ended the move differently.
+func (m *Move) SetStoredPhase(p Phase, reason string) bool {
+	if p == Running || p == m.phase {
+		return false
+	}
+	m.phase, m.phaseReason = p, reason
+	return true
+}
+
 // SetFinalPhase ends a running move with a phase that another daemon determined.
-// It reports whether the phase changed; a final phase is never replaced.
+// It reports whether the phase changed; a final phase is not replaced.
 func (m *Move) SetFinalPhase(p Phase, reason string) bool {
 	if m.phase != Running || p == Running {
 		return false
--- a/internal/node/mesh/moves_test.go
+++ b/internal/node/mesh/moves_test.go
@@ -161,3 +161,32 @@
 	m.applyOrders(&order.ActiveSet{Moves: map[string]order.Move{moveService: again}})
 	g.Expect(m.byService[moveService].move.Phase()).To(Equal(canary.Running))
 }
+
+// Guards against daemons that keep different phases of an ended move, because two judges ended
+// it at the same time or in different parts of a divided fleet: the one in the store counts.
+func TestStoredPhaseCounts(t *testing.T) {
+	tests := map[string]func(from, to *moveTracker){
+		"from the store": func(from, to *moveTracker) {
+			s := from.byService[moveService]
+			to.mergeStatus(to.clock.Now(), to.byService[moveService], s.move.Status())
+		},
+		"from a peer": func(from, to *moveTracker) {
+			from.byService[moveService].statusStored = true
+			to.merge(to.clock.Now(), from.encode(from.clock.Now()), false)
+		},
+	}
+	for name, merge := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			net := loopbackNet{}
+			from, to := newTestReporter(net, "a", []string{"a", "b"}).moves, newTestReporter(net, "b", []string{"a", "b"}).moves
+			from.byService[moveService].move.SetFinalPhase(canary.Succeeded, "test")
+			to.byService[moveService].move.SetFinalPhase(canary.RolledBack, "test")
+			merge(from, to)
+			g.Expect(to.byService[moveService].move.Phase()).To(Equal(canary.Succeeded))
+			g.Expect(to.movesToStore(to.clock.Now() + writeTurnDelay)).To(BeEmpty())
+			from.merge(from.clock.Now(), to.encode(to.clock.Now()), false)
+			g.Expect(from.byService[moveService].move.Phase()).To(Equal(canary.Succeeded))
+		})
+	}
+}
--- a/internal/node/mesh/movesync.go
+++ b/internal/node/mesh/movesync.go
@@ -10,6 +10,12 @@
 // statusStoredBit is set in an encoded phase if the final status is in the store.
 const statusStoredBit = 4
 
+// Reasons of phases that this daemon did not determine.
+const (
+	reasonPeer  = "reported by a peer"
+	reasonStore = "found in the store"
+)
+
 // encode returns the moves as sent to peers, with times as ages.
 func (m *moveTracker) encode(now clock.Milli) []*wire.MoveState {
 	m.mu.Lock()
@@ -65,13 +71,10 @@
 			continue
 		}
 		for _, o := range decodeOutcomes(w) {
-			m.mergeOutcome(now, s, o, "reported by a peer")
+			m.mergeOutcome(now, s, o, reasonPeer)
 		}
 		if int64(s.move.Order().Position) == w.GetOffset() {
-			s.move.MergeStart(now - clock.Milli(w.GetAgeMs()))
-			s.move.MergeStep(int(w.GetStep()), now-clock.Milli(w.GetStepAgeMs()))
-			s.orderStored = s.orderStored || w.GetOrderStored()
-			s.statusStored = s.statusStored || w.GetPhase()&statusStoredBit != 0
+			m.mergeProgress(now, s, w)
 		}
 	}
 	if complete && m.loadedAt > 0 {
@@ -79,6 +82,26 @@
 	}
 }
 
+// mergeProgress adopts how far a peer has processed the move with the same order. The caller
+// holds the lock.
+func (m *moveTracker) mergeProgress(now clock.Milli, s *moveState, w *wire.MoveState) {
+	s.move.MergeStart(now - clock.Milli(w.GetAgeMs()))
+	s.move.MergeStep(int(w.GetStep()), now-clock.Milli(w.GetStepAgeMs()))
+	s.orderStored = s.orderStored || w.GetOrderStored()
+	if w.GetPhase()&statusStoredBit != 0 {
+		m.setStoredPhase(now, s, canary.Phase(w.GetPhase()&^statusStoredBit), reasonPeer)
+	}
+}
+
+// setStoredPhase records the final phase that the store has. It counts whatever this daemon
+// had. The caller holds the lock.
+func (m *moveTracker) setStoredPhase(now clock.Milli, s *moveState, p canary.Phase, reason string) {
+	s.statusStored = true
+	if s.move.SetStoredPhase(p, reason) {
+		m.recordProgress(s, now)
+	}
+}
+
 // mergeOutcome adopts the outcome of the latest move of a service or of an earlier one. The
 // caller holds the lock.
 func (m *moveTracker) mergeOutcome(now clock.Milli, s *moveState, o canary.Outcome, reason string) {
@@ -98,21 +121,16 @@
 // mergeStatus adopts the status in the store of the latest move of a service. The caller holds
 // the lock.
 func (m *moveTracker) mergeStatus(now clock.Milli, s *moveState, stored canary.Status) {
-	const reason = "found in the store"
 	for _, o := range stored.Earlier {
-		m.mergeOutcome(now, s, o, reason)
+		m.mergeOutcome(now, s, o, reasonStore)
 	}
 	latest := stored.Latest
 	if !latest.IsOf(s.move.Order()) {
-		m.mergeOutcome(now, s, latest, reason)
+		m.mergeOutcome(now, s, latest, reasonStore)
 		return
 	}
 	s.orderStored = true
-	if latest.Phase == canary.Running {
-		return
-	}
-	s.statusStored = true
-	if s.move.SetFinalPhase(latest.Phase, reason) {
-		m.recordProgress(s, now)
+	if latest.Phase != canary.Running {
+		m.setStoredPhase(now, s, latest.Phase, reasonStore)
 	}
 }
