guard: send no booking that the HTTP client replays

Cause: net/http repeats a request without a body by itself if one of two headers is there at all; the guard asked whether it had a value, and left http.NoBody as the body if not.

Change: the guard asks what the client asks. A request with such a header gets a body that can't be sent again.

--- a/internal/path/guard/response_test.go
+++ b/internal/path/guard/response_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -101,3 +102,45 @@
 		g.Expect(r.Body).To(Equal(earlyPart))
 	}
 }
+
+// Guards against a booking that the HTTP client sends again by itself, because it takes a
+// request without a body for one that may be repeated if a certain header is there, even an
+// empty one, and the answer on a reused connection is lost.
+func TestLostAnswerIsNotReplayed(t *testing.T) {
+	tests := map[string][]string{
+		"no key":            nil,
+		"key":               {"Idempotency-Key", "k"},
+		"empty key":         {"Idempotency-Key", ""},
+		"other key":         {"X-Idempotency-Key", "k"},
+		"empty other key":   {"X-Idempotency-Key", ""},
+		"empty key, two":    {"Idempotency-Key", "", "X-Idempotency-Key", ""},
+		"empty and filled":  {"Idempotency-Key", "", "X-Idempotency-Key", "k"},
+		"key in lower case": {"idempotency-key", ""},
+	}
+	for name, headers := range tests {
+		for _, method := range []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
+			t.Run(name+" "+method, func(t *testing.T) {
+				g := NewWithT(t)
+				var mu sync.Mutex
+				runs := map[string]int{}
+				harness := inproc.New(t)
+				harness.AddNode(inproc.NodeSpec{UpstreamAddr: inproc.RawUpstream(t, func(c *net.TCPConn, r *http.Request) bool {
+					mu.Lock()
+					defer mu.Unlock()
+					runs[r.URL.Path]++
+					if r.URL.Path == "/lost" {
+						return false
+					}
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					return true
+				})})
+				for _, path := range []string{"/first", "/lost"} {
+					harness.Do(harness.Request(method, path, nil, headers...))
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				g.Expect(runs).To(Equal(map[string]int{"/first": 1, "/lost": 1}))
+			})
+		}
+	}
+}
--- a/internal/path/guard/upstream.go
+++ b/internal/path/guard/upstream.go
@@ -115,8 +115,7 @@
 	}
 	switch req.Method {
 	case http.MethodPost, http.MethodPut, http.MethodPatch:
-		// The client replays a request with one of these headers.
-		if req.Header.Get("Idempotency-Key") == "" && req.Header.Get("X-Idempotency-Key") == "" {
+		if !hasReplayHeader(req.Header) {
 			req.Body = http.NoBody
 			return
 		}
@@ -127,6 +126,14 @@
 	req.TransferEncoding = []string{"identity"}
 }
 
+// hasReplayHeader reports whether the HTTP client replays a request without a body because of
+// a header. It does so even if the value is empty.
+func hasReplayHeader(h http.Header) bool {
+	_, hasKey := h["Idempotency-Key"]
+	_, hasOtherKey := h["X-Idempotency-Key"]
+	return hasKey || hasOtherKey
+}
+
 func (u *upstream) newRequest(ctx context.Context, p Protocol, t *connTrace, c *wire.CallStart, body io.ReadCloser, r *call.Request, now clock.Milli) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
 	req, err := http.NewRequestWithContext(ctx, c.GetMethod(), u.baseURL+c.GetUri(), nil)
