route: take an escaped slash for data, not for a separator

The configuration has the routes /scan/ (uploads) and /scan/list/ (idempotent).

Cause: routes were matched with the decoded path, so the upload got the route of another path and counted as one that may be repeated. With routes to different services, it would have run at the wrong one.

Change: the path is decoded by segment for the comparison with prefixes, and slashes and percent signs inside a segment stay escaped. Other escaped characters still match, as they are equivalent. The own protocol of the product does the same. The upstream gets the path as it was sent.

--- a/internal/path/entry/parse.go
+++ b/internal/path/entry/parse.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/route"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/call"
 	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 )
@@ -21,11 +22,11 @@
 	if r.Service == "" || httpReq.Method == http.MethodConnect || httpReq.Header.Get("Upgrade") != "" {
 		return call.ReasonBadRequest
 	}
-	route := p.config().RouteAt(r.Service, httpReq.Method, httpReq.URL.Path, now)
-	r.Route = route.Name
-	r.Class = route.Class
-	r.Repeatable = *route.Repeatable
-	timeout := route.Timeout
+	rule := p.config().RouteAt(r.Service, httpReq.Method, route.MatchPath(httpReq.URL), now)
+	r.Route = rule.Name
+	r.Class = rule.Class
+	r.Repeatable = *rule.Repeatable
+	timeout := rule.Timeout
 	if v := httpReq.Header.Get(header.TimeoutMs); v != "" {
 		ms, err := strconv.ParseFloat(v, 64)
 		if err != nil || ms <= 0 || ms > float64(maxTimeout) {
@@ -43,8 +44,8 @@
 	if service == "" {
 		return false
 	}
-	route := p.config().RouteAt(service, httpReq.Method, httpReq.URL.Path, clock.FromTime(time.Now()))
-	return *route.Repeatable
+	rule := p.config().RouteAt(service, httpReq.Method, route.MatchPath(httpReq.URL), clock.FromTime(time.Now()))
+	return *rule.Repeatable
 }
 
 // parseChainHeaders parses the headers that each service of a call chain copies
