mesh: judge a new version by its calls since the order

Cause: guards report the calls since their start. Those of the upstreams of the first trial still run for seconds after these have ended, and report their failures as calls of the new trial. An upstream that serves in both trials would do the same.

Evidence: "7 of 77 answers failed or were slow" at the end of the new move; the end of the first one had 7 of 74.

Change: a guard keeps its counts at the order of a move. If its upstream is of the ordered version, it reports what was counted since then; the counts of another instance begin at zero. Counts of the old version still include calls before the order.

--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -105,6 +105,16 @@
 	Running LatencyHistogram
 }
 
+// Since returns the calls that were counted after earlier, a state of the same counters, and
+// those in progress.
+func (s *RouteStats) Since(earlier *RouteStats) RouteStats {
+	return RouteStats{
+		Route: s.Route, Calls: s.Calls - earlier.Calls, Failed: s.Failed - earlier.Failed,
+		TotalServiceTime: s.TotalServiceTime - earlier.TotalServiceTime,
+		Answered:         s.Answered.Since(&earlier.Answered), CutOff: s.CutOff.Since(&earlier.CutOff), Running: s.Running,
+	}
+}
+
 // LoadReport is the load that an upstream reports about itself.
 type LoadReport struct {
 	InProgress int
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -57,6 +57,8 @@
 	// change.
 	notifyPeers func()
 
+	// onOrder is called with the lock when an order starts a move.
+	onOrder func(ord order.Move)
 	// complete is set once this daemon has the outcomes of all earlier moves that decide which
 	// versions get calls.
 	complete atomic.Bool
@@ -88,6 +90,7 @@
 		}
 		s := &moveState{move: canary.New(ord, canary.WithEarlier(earlier)), changedAt: m.clock.Now()}
 		m.byService[service] = s
+		m.onOrder(ord)
 		m.log.Info().Str("service", service).Str("version", ord.Version).Stringer("earlier", earlier).
 			Float64("within_ms", float64(ord.MaxDuration)).Msg("version_move_ordered")
 		m.endIfInService(s.changedAt, s)
@@ -103,11 +106,15 @@
 	m.log.Info().Str("service", service).Str("version", ord.Version).Str("phase", s.move.Phase().String()).Msg("version_move_repeated")
 }
 
-func (m *moveTracker) hasRunningMove(service string) bool {
+// runningOrder returns the order of the running move of a service, false if there is none.
+func (m *moveTracker) runningOrder(service string) (order.Move, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.byService[service]
-	return s != nil && s.move.Phase() == canary.Running
+	if s == nil || s.move.Phase() != canary.Running {
+		return order.Move{}, false
+	}
+	return s.move.Order(), true
 }
 
 // serviceSplit returns how the requests of a service are split between versions, nil
--- a/internal/node/mesh/moves_test.go
+++ b/internal/node/mesh/moves_test.go
@@ -43,7 +43,7 @@
 	}
 	m := &moveTracker{
 		self: id, clock: clock.NewReal(), log: zerolog.Nop(), table: table, notifyPeers: func() {},
-		byService: make(map[string]*moveState),
+		byService: make(map[string]*moveState), onOrder: func(order.Move) {},
 	}
 	move := order.Move{Service: moveService, Version: "v2", MaxDuration: 10 * clock.Second, Position: 1, ReceivedAt: m.clock.Now()}
 	m.applyOrders(&order.ActiveSet{Moves: map[string]order.Move{moveService: move}})
@@ -55,6 +55,7 @@
 		self: id, incarnation: 1, service: moveService, log: zerolog.Nop(), pool: net, linkedIDs: table.LinkedIDs,
 		upstream: u, moves: m, inFlight: make(map[string]chan struct{}),
 	}
+	m.onOrder = reporter.beginTrial
 	net[id] = reporter
 	return reporter
 }
@@ -190,3 +191,28 @@
 		})
 	}
 }
+
+// Guards against a version that is rolled back again when it is ordered again, because the calls
+// of its earlier trial count.
+func TestCallsBeforeOrderDoNotCount(t *testing.T) {
+	g := NewWithT(t)
+	d := newTestReporter(loopbackNet{}, "a", []string{"a"})
+	phaseAfterReport := func() canary.Phase {
+		d.report(context.Background())
+		d.moves.evaluate(d.moves.clock.Now())
+		return d.moves.byService[moveService].move.Phase()
+	}
+	g.Expect(phaseAfterReport()).To(Equal(canary.Running))
+	for i := range rollbackFailures {
+		d.failCall(byte(i))
+	}
+	g.Expect(phaseAfterReport()).To(Equal(canary.RolledBack))
+	again := d.moves.byService[moveService].move.Order()
+	again.Position++
+	d.moves.applyOrders(&order.ActiveSet{Moves: map[string]order.Move{moveService: again}})
+	g.Expect(phaseAfterReport()).To(Equal(canary.Running))
+	for i := range rollbackFailures {
+		d.failCall(byte(rollbackFailures + i))
+	}
+	g.Expect(phaseAfterReport()).To(Equal(canary.RolledBack))
+}
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -134,6 +134,7 @@
 	n.moves = &moveTracker{
 		self: n.self.ID, clock: n.clock, log: n.log, table: n.table,
 		byService: make(map[string]*moveState),
+		onOrder:   func(ord order.Move) { n.reporter.beginTrial(ord) },
 	}
 	n.registry.Subscribe(n.moves.applyOrders)
 	n.upstream = newUpstream(n.clock, n.log)
--- a/internal/node/mesh/statsreporter.go
+++ b/internal/node/mesh/statsreporter.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/shift"
 	"gitlab.com/cranberrytack/cranberrytack/internal/wire/link"
 	wire "gitlab.com/cranberrytack/cranberrytack/internal/wire/proto"
@@ -35,6 +36,7 @@
 	linkedIDs   func() []string
 	upstream    *upstream
 	moves       *moveTracker
+	trial       trialStats
 	// inFlight has, by judge, a channel that is closed at the end of the last report.
 	inFlight map[string]chan struct{}
 }
@@ -47,6 +49,13 @@
 	}
 }
 
+// beginTrial limits the statistics of a new version to the calls from now on.
+func (s *statsReporter) beginTrial(ord order.Move) {
+	if ord.Service == s.service {
+		s.trial.begin(s.upstream.routeStats())
+	}
+}
+
 // Serve implements suture.Service.
 func (s *statsReporter) Serve(ctx context.Context) error {
 	return s.run(ctx)
@@ -54,16 +63,18 @@
 
 func (s *statsReporter) run(ctx context.Context) error {
 	return clock.Every(ctx, reportInterval, func() {
-		if s.moves.hasRunningMove(s.service) {
-			s.report(ctx)
-		}
+		s.report(ctx)
 	})
 }
 
-// report sends the statistics to each judge without a report in flight. They are
-// cumulative, so a lost report only delays the evaluation.
+// report sends the statistics to each judge of a running move without a report in flight. They
+// are cumulative, so a lost report only delays the evaluation.
 func (s *statsReporter) report(ctx context.Context) {
-	r := s.buildReport()
+	ord, ok := s.moves.runningOrder(s.service)
+	if !ok {
+		return
+	}
+	r := s.buildReport(ord)
 	if r.GetTarget() == "" {
 		return
 	}
@@ -87,8 +98,9 @@
 
 // buildReport returns the statistics of the upstream, also if it had no calls: judges
 // count the upstreams of a version.
-func (s *statsReporter) buildReport() *wire.TallyReport {
+func (s *statsReporter) buildReport(ord order.Move) *wire.TallyReport {
 	state, routeStats := s.upstream.routeStats()
+	routeStats = s.trial.sinceOrder(ord, state, routeStats)
 	return &wire.TallyReport{
 		Service: s.service, Version: state.Version, Target: state.Instance, Incarnation: s.incarnation, Tallies: link.EncodeRouteStats(routeStats),
 	}
