health: refuse heartbeats without the start time

Cause: a heartbeat without a start time was taken for a new start of the same instance, which is not leaving.

Change: an upstream states its start time always or never.

--- a/internal/fleet/health/tracker.go
+++ b/internal/fleet/health/tracker.go
@@ -106,11 +106,18 @@
 	}
 }
 
+// LacksStart reports whether a heartbeat states no start time although the current instance
+// has stated its own. Upstreams state it always or never, so the heartbeat is from another
+// writer.
+func (t *Tracker) LacksStart(h Heartbeat) bool {
+	return h.StartedAt == 0 && t.current.StartedAt > 0
+}
+
 // HandleHeartbeat applies a heartbeat and reports whether it did. It ignores a
-// heartbeat of a retired instance, one from before the current start, and one that
-// arrives after a newer one.
+// heartbeat of a retired instance, one from before the current start, one that
+// arrives after a newer one, and one that lacks the start time.
 func (t *Tracker) HandleHeartbeat(now clock.Milli, h Heartbeat) bool {
-	if t.isStale(h) {
+	if t.isStale(h) || t.LacksStart(h) {
 		return false
 	}
 	if h.Instance == t.current.Instance && t.current.StartedAt == 0 {
--- a/internal/fleet/health/tracker_test.go
+++ b/internal/fleet/health/tracker_test.go
@@ -63,6 +63,18 @@
 			tr.HandleHeartbeat(now, withStart(withDraining(heartbeat("a", 9)), 100))
 			tr.HandleHeartbeat(now, withStart(heartbeat("a", 1), 200))
 		}, "a", true},
+		"no start time while draining": {func(tr *health.Tracker) {
+			tr.HandleHeartbeat(now, withStart(withDraining(heartbeat("a", 9)), 100))
+			tr.HandleHeartbeat(now, heartbeat("a", 10))
+		}, "a", false},
+		"another instance without start time": {func(tr *health.Tracker) {
+			tr.HandleHeartbeat(now, withStart(heartbeat("a", 9), 100))
+			tr.HandleHeartbeat(now, heartbeat("b", 1))
+		}, "a", true},
+		"draining without start time": {func(tr *health.Tracker) {
+			tr.HandleHeartbeat(now, withStart(heartbeat("a", 9), 100))
+			tr.HandleHeartbeat(now, withDraining(heartbeat("a", 10)))
+		}, "a", true},
 		"late deregistration of an earlier start": {func(tr *health.Tracker) {
 			tr.HandleHeartbeat(now, withStart(heartbeat("a", 1), 200))
 			tr.HandleDeregister("a", 100)
--- a/internal/node/mesh/heartbeats.go
+++ b/internal/node/mesh/heartbeats.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/pkg/errors"
+
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/health"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
@@ -10,11 +12,19 @@
 
 // HandleHeartbeat implements HeartbeatHandler. If the upstream drains, it returns
 // once the record with this state is stored, at the latest after leaveStoreTimeout.
-func (n *Node) HandleHeartbeat(ctx context.Context, r health.Heartbeat) {
-	n.upstream.update(func(now clock.Milli, t *health.Tracker) { t.HandleHeartbeat(now, r) })
+func (n *Node) HandleHeartbeat(ctx context.Context, r health.Heartbeat) error {
+	lacksStart := false
+	n.upstream.update(func(now clock.Milli, t *health.Tracker) {
+		lacksStart = t.LacksStart(r)
+		t.HandleHeartbeat(now, r)
+	})
+	if lacksStart {
+		return errors.Errorf("heartbeat of %s without the start time that its upstream states", r.Instance)
+	}
 	if r.Draining {
 		n.announceAndWait(ctx)
 	}
+	return nil
 }
 
 // HandleDeregister implements HeartbeatHandler. It returns once the end of the instance
--- a/internal/node/mesh/platform.go
+++ b/internal/node/mesh/platform.go
@@ -95,8 +95,9 @@
 
 // HeartbeatHandler handles what an upstream reports of itself.
 type HeartbeatHandler interface {
-	// HandleHeartbeat records a heartbeat.
-	HandleHeartbeat(ctx context.Context, r health.Heartbeat)
+	// HandleHeartbeat records a heartbeat. It returns an error if the heartbeat is not one of
+	// this daemon's upstream.
+	HandleHeartbeat(ctx context.Context, r health.Heartbeat) error
 	// HandleDeregister records the end of an instance that started at startedAt, which
 	// is zero if the upstream does not state it.
 	HandleDeregister(ctx context.Context, instance string, startedAt clock.Milli)
