platform: take nothing without an id for an answer on a reused connection

A stray 421 made a waiting booking run at a second upstream; a stray 503 reached the caller of a booking that ran.

Cause: only successes and stated refusals were checked for the id. A 421 counted as "not run" without one, and other failures were passed on.

Change: on a reused connection, a response without an id is invalid: the outcome is unknown, the caller gets 502, and the connection is closed. On a new connection nothing can come before the answer, so a 421 without an id still says that the request was not run.

--- a/internal/path/guard/exchange.go
+++ b/internal/path/guard/exchange.go
@@ -130,7 +130,7 @@
 	if !header.IsFinalStatus(resp.StatusCode) {
 		return ResponseInfo{InvalidReason: fmt.Sprintf("status %03d is not that of a response", resp.StatusCode)}
 	}
-	return x.stream.guard.protocol.ParseResponse(resp, x.request)
+	return x.stream.guard.protocol.ParseResponse(resp, x.request, x.trace.reused.Load())
 }
 
 // refuseResponse refuses a call whose response says that the upstream did not run
--- a/internal/path/guard/protocol.go
+++ b/internal/path/guard/protocol.go
@@ -33,8 +33,9 @@
 	// SetRequestHeaders sets the headers of a request right before it is sent.
 	// Remaining is the time until the deadline of the call.
 	SetRequestHeaders(h http.Header, r *call.Request, remaining clock.Milli)
-	// ParseResponse parses the head of a response to the request r.
-	ParseResponse(resp *http.Response, r *call.Request) ResponseInfo
+	// ParseResponse parses the head of a response to the request r. On a reused connection,
+	// bytes that an upstream has sent behind an earlier response may come first.
+	ParseResponse(resp *http.Response, r *call.Request, reusedConn bool) ResponseInfo
 	// BufferResponses reports whether a response is read completely, up to a
 	// size limit, before it is forwarded. A truncated response can then be
 	// replaced by a refusal.
@@ -57,7 +58,7 @@
 }
 
 // ParseResponse implements Protocol.
-func (nativeProtocol) ParseResponse(resp *http.Response, _ *call.Request) ResponseInfo {
+func (nativeProtocol) ParseResponse(resp *http.Response, _ *call.Request, _ bool) ResponseInfo {
 	var info ResponseInfo
 	if e, err := strconv.ParseUint(resp.Header.Get(header.Epoch), 10, 64); err == nil {
 		info.Epoch = e
