pipe: answer requests that were read before a planned stop closes

Cause: while the server stops, a response closes its connection unless a request behind it was started early. The decision was taken before the handler ran, so what arrived meanwhile was dropped too. And Shutdown closes a connection between two responses, as it waits only for requests that were started.

Change: a response closes the connection if nothing read completely waits behind it, and this is decided with its head. The stop waits until requests that were read completely are answered.

A check that changes: TestNothingRunsBehindClose "planned stop" expected that a lookup and a booking, read behind the first lookup, are dropped. The case now expects all three to run and to be answered, and TestNothingRunsBehindPlannedClose checks that nothing runs behind the response that closes the connection in a planned stop.

--- a/internal/base/pipe/conn.go
+++ b/internal/base/pipe/conn.go
@@ -30,7 +30,9 @@
 	active *message
 	// sealed is set when no further request may be started early.
 	sealed bool
-	closed bool
+	// responsesSealed counts the responses since then.
+	responsesSealed int
+	closed          bool
 }
 
 func newConn(nc net.Conn, p *Pipeline) *conn {
@@ -164,7 +166,7 @@
 	if c.active != nil {
 		c.active.give()
 		if c.active.call != nil {
-			c.pipeline.unanswered.Add(-1)
+			c.pipeline.early.Add(-1)
 		}
 	}
 	c.active = nil
@@ -178,19 +180,40 @@
 		m.give()
 		if m.call != nil {
 			m.call.cancel()
-			c.pipeline.unanswered.Add(-1)
+			c.pipeline.early.Add(-1)
 		}
 	}
 	c.queue = nil
 }
 
 // seal prevents further early starts and reports whether the connection may close
-// after the active message, as none behind it was started.
+// after the active message, as none behind it was started or read completely. A caller that
+// always sends another request does not keep the connection open.
 func (c *conn) seal() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = true
-	return !slices.ContainsFunc(c.queue, func(m *message) bool { return m.call != nil })
+	c.responsesSealed++
+	return !slices.ContainsFunc(c.queue, func(m *message) bool {
+		return m.call != nil || m.missing == 0 && c.responsesSealed <= maxQueuedPerConn
+	})
+}
+
+// unanswered returns the number of requests that were started early or read completely behind
+// another one, and whose response was not written.
+func (c *conn) unanswered() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	if c.active != nil && c.active.call != nil {
+		n++
+	}
+	for _, m := range c.queue {
+		if m.call != nil || m.missing == 0 {
+			n++
+		}
+	}
+	return n
 }
 
 // NetConn returns the connection that is read ahead.
@@ -217,6 +240,7 @@
 	c.dropQueue()
 	c.changed.Broadcast()
 	c.mu.Unlock()
+	c.pipeline.remove(c)
 	c.inbox.fail(net.ErrClosed)
 	if c.cancel != nil {
 		c.cancel()
--- a/internal/base/pipe/pipe.go
+++ b/internal/base/pipe/pipe.go
@@ -15,6 +15,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 )
 
@@ -41,9 +42,13 @@
 	repeatable func(*http.Request) bool
 	stopping   func() bool
 	room       Room
-	// unanswered counts the requests that were started early and whose response was
-	// not written.
-	unanswered atomic.Int64
+	// early counts the requests that were started early and whose response was not
+	// written.
+	early atomic.Int64
+
+	mu sync.Mutex
+	// conns has the open connections.
+	conns map[*conn]bool
 }
 
 // Option changes a Pipeline.
@@ -77,6 +82,7 @@
 		repeatable: func(*http.Request) bool { return false },
 		stopping:   func() bool { return false },
 		room:       func(context.Context, int64) (func(), bool) { return func() {}, true },
+		conns:      make(map[*conn]bool),
 	}
 	for _, o := range opts {
 		o(p)
@@ -84,16 +90,35 @@
 	return p
 }
 
-// Unanswered returns the number of requests that were started early and whose
-// response was not written. A server that stops waits until there is none.
+// Unanswered returns the number of requests that were started early, or read completely
+// behind another one, and whose response was not written. A server that stops waits until
+// there is none.
 func (p *Pipeline) Unanswered() int {
-	return int(p.unanswered.Load())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for c := range p.conns {
+		n += c.unanswered()
+	}
+	return n
+}
+
+func (p *Pipeline) add(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = true
+}
+
+func (p *Pipeline) remove(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
 }
 
 // tryStart reports whether another request may be started early, and counts it.
 func (p *Pipeline) tryStart() bool {
-	if p.unanswered.Add(1) > maxEarly {
-		p.unanswered.Add(-1)
+	if p.early.Add(1) > maxEarly {
+		p.early.Add(-1)
 		return false
 	}
 	return true
@@ -115,7 +140,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(c, l.pipeline), nil
+	accepted := newConn(c, l.pipeline)
+	l.pipeline.add(accepted)
+	return accepted, nil
 }
 
 type connKey struct{}
@@ -149,12 +176,11 @@
 	}
 	early := c.begin(r)
 	defer c.end()
-	if p.stopping() && c.seal() {
-		w.Header().Set("Connection", "close")
-	}
+	closing := &closingWriter{ResponseWriter: w, conn: c}
 	if early == nil {
-		p.next.ServeHTTP(w, r)
-		return
+		p.next.ServeHTTP(closing, r)
+	} else {
+		early.respond(closing)
 	}
-	early.respond(w)
+	closing.setClose()
 }
--- a/internal/base/pipe/pipe_test.go
+++ b/internal/base/pipe/pipe_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -190,7 +191,7 @@
 		"post behind a closing response":    {get("/close") + post("/p", "x"), false, []string{"/close"}, []string{"/close "}},
 		"post behind an aborted response":   {get("/abort") + post("/p", "x"), false, []string{"/abort"}, nil},
 		"get behind a closing post":         {post("/close", "x") + get("/g"), false, []string{"/close"}, []string{"/close x"}},
-		"planned stop":                      {get("/a") + get("/b") + post("/p", "x"), true, []string{"/a"}, []string{"/a "}},
+		"planned stop":                      {get("/a?ms=50") + get("/b") + post("/p", "x"), true, []string{"/a", "/b", "/p"}, []string{"/a ", "/b ", "/p x"}},
 		"close requested by the caller":     {"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + get("/b"), false, []string{"/a"}, []string{"/a "}},
 		"get behind a malformed request":    {get("/a?ms=50") + "GET /b HTTP/1.1\r\nHost: h\r\nbad header\r\n\r\n" + get("/c"), false, []string{"/a"}, []string{"/a ", "400 Bad Request"}},
 		"get behind a second host":          {get("/a?ms=50") + "GET /b HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n" + get("/c"), false, []string{"/a"}, []string{"/a ", "400 Bad Request"}},
@@ -326,3 +327,80 @@
 	g.Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second))
 	g.Expect(f.allRuns()).To(BeEmpty())
 }
+
+// Guards against requests that a planned stop drops although they were read: those that wait
+// behind another one on their connection and may not be started early.
+func TestStopAnswersQueuedRequests(t *testing.T) {
+	const stopDelay = 100 * time.Millisecond
+	tests := map[string]struct {
+		// first is sent before the stop begins, second stopDelay after that.
+		first, second string
+		want          []string
+	}{
+		"booking behind a lookup":    {"", get("/a?ms=300") + post("/b?ms=100", "x"), []string{"/a ", "/b x"}},
+		"booking behind a booking":   {"", post("/a?ms=300", "x") + post("/b", "y") + post("/c", "z"), []string{"/a x", "/b y", "/c z"}},
+		"sent before the stop":       {get("/a?ms=900") + post("/b", "x"), "", []string{"/a ", "/b x"}},
+		"sent while the lookup runs": {get("/a?ms=400"), post("/b", "x"), []string{"/a ", "/b x"}},
+		"more than may start early":  {"", strings.Repeat(get("/a?ms=100"), 12), slices.Repeat([]string{"/a "}, 12)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFixture(t)
+			conn, r := f.dial(t)
+			_, err := io.WriteString(conn, tt.first)
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(stopDelay)
+			f.stopping.Store(true)
+			stopped := make(chan error, 1)
+			go func() { stopped <- f.server.Stop(context.Background()) }()
+			time.Sleep(stopDelay)
+			_, err = io.WriteString(conn, tt.second)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(readBodies(r, 99)).To(Equal(tt.want))
+			g.Expect(<-stopped).To(Succeed())
+		})
+	}
+}
+
+// Guards against requests that run behind the response with which a planned stop closes the
+// connection.
+func TestNothingRunsBehindPlannedClose(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	f.stopping.Store(true)
+	conn, r := f.dial(t)
+	_, err := io.WriteString(conn, get("/a?ms=50")+post("/b", "x"))
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, wantClose := range []bool{false, true} {
+		resp, err := http.ReadResponse(r, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(resp.Close).To(Equal(wantClose))
+		_, err = io.Copy(io.Discard, resp.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	_, _ = io.WriteString(conn, get("/c")+post("/d", "x"))
+	g.Expect(readBodies(r, 1)).To(BeEmpty())
+	time.Sleep(50 * time.Millisecond)
+	g.Expect(f.allRuns()).To(Equal([]string{"/a", "/b"}))
+}
+
+// Guards against a planned stop that does not end because a caller always has another request
+// on its way.
+func TestStopEndsBesideRequestsWithoutEnd(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t)
+	conn, r := f.dial(t)
+	go func() {
+		var err error
+		for err == nil {
+			_, err = io.WriteString(conn, post("/a", "x"))
+		}
+	}()
+	go func() { readBodies(r, 1<<20) }()
+	g.Eventually(func() int { return len(f.allRuns()) }).Should(BeNumerically(">", 10))
+	f.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	g.Expect(f.server.Stop(ctx)).To(Succeed())
+}
