shift: let the latest move of a service decide first

A request belongs to the first move whose share covers its hash, and a move that is done covers all. The fallback for requests of a version without usable targets excluded the version in service as well, as that had come by a move. Versions that were taken back stay excluded; that held before.

Change: moves are ordered by the revision of their exception, the latest one first. The fallback allows the version of the last move that is done or, if none is, those without a move.

Result: TestLaterMove "earlier one done" failed before (v2 had all calls instead of 0.9).

--- a/internal/moves/shift/core.go
+++ b/internal/moves/shift/core.go
@@ -1,6 +1,9 @@
 package shift
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -215,8 +218,7 @@
 // updateTable computes the shares of all moves and replaces the table.
 func (c *Core) updateTable(now clock.Milli) {
 	t := &Table{}
-	for _, id := range c.sortedIDs() {
-		m := c.moves[id]
+	for _, m := range c.latestFirst() {
 		v := m.Exception.Move
 		m.Decision = Decide(v, now, m.Milestones, c.capacity[v.Service])
 		m.Overdue = !m.isSettled() && now > v.FinishBy
@@ -234,8 +236,8 @@
 			stopped = 0
 		}
 		t.rows = append(t.rows, row{
-			service: v.Service, move: id, version: v.NewVersion,
-			salt: xxhash.Sum64String(id), share: m.Decision.Share, stoppedAt: stopped,
+			service: v.Service, move: v.ID, version: v.NewVersion,
+			salt: xxhash.Sum64String(v.ID), share: m.Decision.Share, stoppedAt: stopped,
 		})
 	}
 	c.table = t
@@ -255,6 +257,13 @@
 	return out
 }
 
+// latestFirst returns all moves, the latest one first.
+func (c *Core) latestFirst() []*move {
+	return slices.SortedFunc(maps.Values(c.moves), func(a, b *move) int {
+		return cmp.Or(cmp.Compare(b.Exception.Revision, a.Exception.Revision), cmp.Compare(a.Exception.Move.ID, b.Exception.Move.ID))
+	})
+}
+
 func (c *Core) sortedIDs() []string {
 	ids := make([]string, 0, len(c.moves))
 	for id := range c.moves {
--- a/internal/moves/shift/shift_test.go
+++ b/internal/moves/shift/shift_test.go
@@ -253,3 +253,45 @@
 		}
 	})
 }
+
+// Guards against a version that gets no calls because an earlier move of its service is done,
+// and against calls to a version that an earlier move took back or replaced. The order of the
+// ids of the moves must not matter.
+func TestLaterMove(t *testing.T) {
+	tests := map[string]struct {
+		earlierID       string
+		done, takenBack bool
+		// want has the share of each version.
+		want map[string]float64
+	}{
+		"earlier one done":                      {"m0", true, false, map[string]float64{"v1": 0, "v2": 0.9, "v3": 0.1}},
+		"earlier one done, later id":            {"m2", true, false, map[string]float64{"v1": 0, "v2": 0.9, "v3": 0.1}},
+		"earlier one taken back":                {"m0", false, true, map[string]float64{"v1": 0.9, "v2": 0, "v3": 0.1}},
+		"earlier one taken back, with later id": {"m2", false, true, map[string]float64{"v1": 0.9, "v2": 0, "v3": 0.1}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			earlier, latest := moveException(), moveException()
+			earlier.ID, earlier.Move.ID, earlier.Revision = tt.earlierID, tt.earlierID, 5
+			earlier.Move.Done, earlier.Move.TakenBack = tt.done, tt.takenBack
+			latest.Move.NewVersion = "v3"
+			core := shift.New("d1")
+			core.Configure(90000, &policy.Config{Exceptions: []policy.Exception{earlier, latest}})
+			const calls = 20000
+			r, got := rand.New(rand.NewPCG(1, 2)), map[string]float64{}
+			for range calls {
+				id := call.NewID(r)
+				for version := range tt.want {
+					if core.Table().Allow("s", version, id) {
+						got[version] += 1.0 / calls
+					}
+				}
+			}
+			for version, share := range tt.want {
+				g.Expect(got[version]).To(BeNumerically("~", share, 0.01), version)
+				g.Expect(core.Table().IsOldVersion("s", version)).To(Equal(share > 0.5), version)
+			}
+		})
+	}
+}
--- a/internal/moves/shift/table.go
+++ b/internal/moves/shift/table.go
@@ -16,6 +16,7 @@
 // Table decides for each request whether it goes to the old or the new version
 // of its service. It is immutable, and its methods allocate nothing.
 type Table struct {
+	// rows has the latest move first.
 	rows []row
 }
 
@@ -40,7 +41,7 @@
 		if r.service != service {
 			continue
 		}
-		// With several moves, the request belongs to the first one whose share
+		// With several moves, the request belongs to the latest one whose share
 		// covers its hash.
 		if hashFraction(r.salt, id) < r.share {
 			return r.version == version
@@ -50,15 +51,20 @@
 	return !isNew
 }
 
-// IsNewVersion reports whether the version is the new one in a move of the
-// service.
-func (t *Table) IsNewVersion(service, version string) bool {
+// IsOldVersion reports whether the version is the one that the running moves of the
+// service replace: that of the last move that is done or, if none is, one without a
+// move.
+func (t *Table) IsOldVersion(service, version string) bool {
 	for i := range t.rows {
-		if t.rows[i].service == service && t.rows[i].version == version {
-			return true
+		r := &t.rows[i]
+		if r.service != service {
+			continue
+		}
+		if isDone := r.share >= 1; isDone || r.version == version {
+			return isDone && r.version == version
 		}
 	}
-	return false
+	return true
 }
 
 // Share returns the share of the new version in a move, or 0 if the move is
--- a/internal/node/daemon/rules.go
+++ b/internal/node/daemon/rules.go
@@ -56,7 +56,7 @@
 	}
 	gate, table := r.gate.Load(), r.table.Load()
 	return func(t *call.Target) bool {
-		return gate.Allow(now, t.Centre, req.ID) && !table.IsNewVersion(t.Service, t.Version)
+		return gate.Allow(now, t.Centre, req.ID) && table.IsOldVersion(t.Service, t.Version)
 	}
 }
 
