entry: refuse an upload that arrives too late as not run

Change: it counts as a missed deadline of a call that has not run: 503 on the users' platform, 504 with the outcome not_run in the own protocol.

Result: TestUploadIsTooSlow failed before (400).

--- a/internal/path/entry/receive.go
+++ b/internal/path/entry/receive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 
 	"github.com/pkg/errors"
 
@@ -35,6 +36,8 @@
 	case r.account.Ended() || errors.Is(err, errNoRoom):
 		r.respWriter.Header().Set("Connection", "close")
 		return call.ReasonMemory
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return call.ReasonDeadline
 	case err != nil:
 		return call.ReasonBadRequest
 	default:
--- a/internal/path/entry/upload_test.go
+++ b/internal/path/entry/upload_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/bench/inproc"
+	"gitlab.com/cranberrytack/cranberrytack/internal/path/header"
 )
 
 // logBuffer collects the log output of a server. It is safe for concurrent use.
@@ -61,3 +62,20 @@
 	time.Sleep(50 * time.Millisecond)
 	g.Expect(logged.String()).NotTo(ContainSubstring("panic"))
 }
+
+// Guards against an upload that is refused like a malformed one because it is still arriving when
+// its time is over: callers do not send a malformed request again.
+func TestUploadIsTooSlow(t *testing.T) {
+	g := NewWithT(t)
+	harness := inproc.New(t)
+	harness.AddNode(inproc.NodeSpec{Handler: func(http.ResponseWriter, *http.Request) {}})
+	body, writer := io.Pipe()
+	defer func() { _ = writer.Close() }()
+	go func() { _, _ = io.WriteString(writer, "the first part") }()
+	req := harness.Request(http.MethodPost, "/upload", body, header.TimeoutMs, "100")
+	req.ContentLength = 1000
+	r := harness.Do(req)
+	g.Expect(r.Err).NotTo(HaveOccurred())
+	g.Expect(r.Status).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(r.OutcomeAndReason()).To(Equal([2]string{"not_run", "deadline"}))
+}
