commands: handle reload signals from the start on

Cause: the signal was handled only after the daemon had been built.

Change: the handler is installed first; the settings are read again once the daemon runs.

--- a/commands/mesh.go
+++ b/commands/mesh.go
@@ -38,6 +38,9 @@
 
 // Execute implements flags.Commander.
 func (c *meshCommand) Execute([]string) error {
+	// First of all, as the signal ends a process that does not handle it.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	path, err := platform.SettingsPath()
 	if err != nil {
 		return err
@@ -64,8 +67,7 @@
 	if err != nil {
 		return err
 	}
-	r := &reloader{path: path, adapter: adapter, log: log, hup: make(chan os.Signal, 1)}
-	signal.Notify(r.hup, syscall.SIGHUP)
+	r := &reloader{path: path, adapter: adapter, log: log, hup: hup}
 	go r.run(ctx)
 	return n.Run(ctx)
 }
