mesh: end no move as succeeded without the records of all daemons

Cause: "the version is in service" followed from the lack of a record of another version. A daemon that starts while keyed.peers can't be read has its own record only, and took that for all of them after 2 s. In a longer outage, such a daemon also counted itself as a judge.

Evidence: start_without_store at each of the new daemons, no peer_announced before version_move_ended, whose answers are zero; with the partition of the statuses down instead the move was rolled back.

Change: daemons know whether they have had all records since their start, from the store or from a peer that has them (metric peers_complete). Without them, no share grows and no move succeeds; a rollback still counts. Success as the version in service takes a judge with a read of all records after the order, and no daemon whose upstream may be another version: one that is not known yet, or one beside a daemon that stopped. Until that read, a daemon with all records sends the only version all requests.

Why it works: the store has the record of each upstream that got calls before the order, and is linearizable, so a read after the order shows other versions.

--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -134,6 +134,16 @@
 	f.wakeUp()
 }
 
+// Refresh makes the follower read without waiting for records: once if it is idle, and again if
+// it follows the topic.
+func (f *Follower) Refresh() {
+	if f.idle.Load() {
+		f.Poll()
+		return
+	}
+	f.Restart()
+}
+
 // Position returns the position of the next read.
 func (f *Follower) Position() Position {
 	return Position(f.position.Load())
--- a/internal/moves/canary/canary.go
+++ b/internal/moves/canary/canary.go
@@ -68,6 +68,9 @@
 	step        int
 	lastStepAt  clock.Milli
 	phaseReason string
+	// suspectReason says why the version was suspect at the latest evaluation, empty if it was
+	// not.
+	suspectReason string
 	// evidence is that of the latest evaluation on all routes since the order.
 	evidence Evidence
 }
@@ -193,19 +196,30 @@
 // Evaluate rolls the move back, advances it by one step or completes it, as the
 // recorded statistics require. It reports whether the phase or the step changed.
 func (m *Move) Evaluate(now clock.Milli) bool {
+	return m.EvaluateRollback(now) || m.advance(now)
+}
+
+// EvaluateRollback rolls the move back if the recorded statistics require it, and reports
+// whether it did. It is for a daemon that may not have the statistics of all guards: what it
+// has can show that the version is bad, but not that it is good.
+func (m *Move) EvaluateRollback(now clock.Milli) bool {
 	if m.phase != Running {
 		return false
 	}
 	v := m.calls.evidence(now)
 	m.evidence = v[0]
+	m.suspectReason = v.suspectReason()
 	if reason := v.rollbackReason(); reason != "" {
 		m.phase, m.phaseReason = RolledBack, reason
 		return true
 	}
-	if reason := v.suspectReason(); reason != "" {
-		return m.rollBackAtEnd(now, reason)
-	}
-	if !m.stepComplete(now) {
+	return m.suspectReason != "" && m.rollBackAtEnd(now, m.suspectReason)
+}
+
+// advance increases the share of a running move by one step or completes the move, unless the
+// version is suspect. It reports whether it did.
+func (m *Move) advance(now clock.Milli) bool {
+	if m.phase != Running || m.suspectReason != "" || !m.stepComplete(now) {
 		return false
 	}
 	if m.step == len(steps) {
--- a/internal/node/mesh/metrics.go
+++ b/internal/node/mesh/metrics.go
@@ -66,6 +66,7 @@
 	n.meter.AddGauge("store_watch_silence_seconds", func() float64 { return float64(n.watch.view.age() / clock.Second) })
 	n.meter.AddGauge("peers_known", func() float64 { return float64(len(n.table.Records())) })
 	n.meter.AddGauge("peers_linked", func() float64 { return float64(len(n.table.LinkedIDs())) })
+	n.meter.AddGauge("peers_complete", func() float64 { return gaugeValue(n.records.isComplete()) })
 	n.meter.AddGauge("upstream_usable", func() float64 { return gaugeValue(n.upstream.unusableReason() == call.ReasonNone) })
 	n.meter.AddGauge("upstream_pace_age_seconds", func() float64 { return float64(n.upstream.slowdownAge() / clock.Second) })
 	n.meter.AddGauge("requests_held", func() float64 { return float64(n.crashes.held()) })
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -35,6 +35,9 @@
 	// otherVersionSeen is set once this daemon has had a record of another version that may
 	// get calls.
 	otherVersionSeen bool
+	// isOnlyVersion is set while no other version may get calls, as far as this daemon's
+	// records say.
+	isOnlyVersion bool
 	// lastWriteAt is when this daemon last tried to store the status.
 	lastWriteAt clock.Milli
 }
@@ -53,6 +56,10 @@
 	clock clock.Clock
 	log   zerolog.Logger
 	table *peers.Table
+	// records says whether the table has the records of all daemons. requestRecords requests
+	// a read of all of them; it must not block.
+	records        *recordsView
+	requestRecords func()
 	// notifyPeers sends the moves to all peers. It is called without the lock after a
 	// change.
 	notifyPeers func()
@@ -68,6 +75,8 @@
 	byService map[string]*moveState
 	// loadedAt is when this daemon received its first orders.
 	loadedAt clock.Milli
+	// recordsRefreshedAt is when this tracker last requested a read of all records.
+	recordsRefreshedAt clock.Milli
 }
 
 // applyOrders starts the moves that are ordered in o and newer than the known ones.
@@ -93,7 +102,7 @@
 		m.onOrder(ord)
 		m.log.Info().Str("service", service).Str("version", ord.Version).Stringer("earlier", earlier).
 			Float64("within_ms", float64(ord.MaxDuration)).Msg("version_move_ordered")
-		m.endIfInService(s.changedAt, s)
+		m.updateOnlyVersion(s.changedAt, s)
 	}
 }
 
@@ -147,9 +156,13 @@
 	if s == nil {
 		return nil
 	}
-	return &trafficSplit{
+	split := &trafficSplit{
 		version: s.move.Order().Version, share: s.move.Share(), final: s.move.Phase() != canary.Running, earlier: s.move.Earlier(),
 	}
+	if s.isOnlyVersion {
+		split.share, split.final = 1, true
+	}
+	return split
 }
 
 // targetIDs returns the ids of the targets of a version.
@@ -191,18 +204,15 @@
 	})
 }
 
-// evaluate evaluates the running moves: as a judge, or whether the version is in service
-// already. It reports whether the phase or the step of one changed.
+// evaluate evaluates the running moves that this daemon is a judge of. It reports whether the
+// phase or the step of one changed.
 func (m *moveTracker) evaluate(now clock.Milli) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changed := false
 	for service, s := range m.byService {
-		if m.endIfInService(now, s) {
-			changed = true
-			continue
-		}
-		if s.move.Phase() != canary.Running || !m.isJudge(service) || !s.move.Evaluate(now) {
+		m.updateOnlyVersion(now, s)
+		if s.move.Phase() != canary.Running || !m.isJudge(service) || !m.evaluateMove(now, s) {
 			continue
 		}
 		changed = true
@@ -211,6 +221,16 @@
 	return changed
 }
 
+// evaluateMove evaluates a running move and reports whether the phase or the step changed. A
+// daemon that knows nobody considers itself a judge, so one that may lack records of others
+// only rolls back. The caller holds the lock.
+func (m *moveTracker) evaluateMove(now clock.Milli, s *moveState) bool {
+	if !m.records.isComplete() {
+		return s.move.EvaluateRollback(now)
+	}
+	return m.endIfInService(now, s) || s.move.Evaluate(now)
+}
+
 // recordProgress logs a completed step or the end of a move and sets changedAt at the
 // end.
 func (m *moveTracker) recordProgress(s *moveState, now clock.Milli) {
--- a/internal/node/mesh/moves_test.go
+++ b/internal/node/mesh/moves_test.go
@@ -42,7 +42,7 @@
 		table.SetLinked(other, true)
 	}
 	m := &moveTracker{
-		self: id, clock: clock.NewReal(), log: zerolog.Nop(), table: table, notifyPeers: func() {},
+		self: id, clock: clock.NewReal(), log: zerolog.Nop(), table: table, notifyPeers: func() {}, records: &recordsView{complete: true}, requestRecords: func() {},
 		byService: make(map[string]*moveState), onOrder: func(order.Move) {},
 	}
 	move := order.Move{Service: moveService, Version: "v2", MaxDuration: 10 * clock.Second, Position: 1, ReceivedAt: m.clock.Now()}
@@ -62,10 +62,15 @@
 
 // failCall runs one call that fails at the upstream of a daemon.
 func (s *statsReporter) failCall(id byte) {
+	s.finishCall(id, admit.Result{Failed: true})
+}
+
+// finishCall runs one call with a result at the upstream of a daemon.
+func (s *statsReporter) finishCall(id byte, result admit.Result) {
 	now := s.moves.clock.Now()
 	request := admit.Request{ID: call.ID{id}, Route: "r", Deadline: now + clock.Second, MayQueue: true}
 	s.upstream.Offer(now, request)
-	s.upstream.Finish(now, request.ID, admit.Result{Failed: true})
+	s.upstream.Finish(now, request.ID, result)
 }
 
 // Guards against a bad version that is not rolled back because its failures are spread
--- a/internal/node/mesh/node.go
+++ b/internal/node/mesh/node.go
@@ -44,6 +44,7 @@
 	self            call.Target
 	pool            *link.Pool
 	table           *peers.Table
+	records         *recordsView
 	registry        *order.Registry
 	moves           *moveTracker
 	crashes         *crashLog
@@ -78,7 +79,7 @@
 func New(s Settings, p Platform, log zerolog.Logger) (*Node, error) {
 	clk := clock.NewReal()
 	assert.SetLogger(log)
-	n := &Node{settings: s, platform: p, clock: clk, log: log, table: peers.New(s.Listen.Peer), meter: meter.New()}
+	n := &Node{settings: s, platform: p, clock: clk, log: log, table: peers.New(s.Listen.Peer), records: &recordsView{}, meter: meter.New()}
 	n.startLog = newStartLog(clk, log)
 	n.store = &meteredStore{store: p.Store(), meter: n.meter}
 	records, end := n.readStoredPeers()
@@ -91,7 +92,7 @@
 	n.table.Merge(records...)
 	n.peerFollower = feed.NewFollower(n.store, p.Topics().Peers, peerSink{table: n.table, log: log, onNew: n.logNewPeers}, log,
 		feed.WithStart(end), feed.WithBatchDelay(peerBatchDelay), feed.WithIdleStart(),
-		feed.WithReadHook(func(clock.Milli) { n.watch.peersRead() }))
+		feed.WithReadHook(n.recordPeersRead))
 	n.buildServices()
 	return n, n.listen()
 }
@@ -117,14 +118,22 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), restoreTimeout.Duration())
 	defer cancel()
+	sentAt := n.clock.Now()
 	b, err := n.store.Newest(ctx, n.platform.Topics().Peers)
 	if err != nil {
 		n.log.Warn().Err(err).Msg("start_without_store")
 		return nil, feed.PositionNone
 	}
+	n.records.recordRead(sentAt)
 	return decodePeers(b.Items, n.log), b.End
 }
 
+// recordPeersRead records a successful read of the other daemons' records some time ago.
+func (n *Node) recordPeersRead(age clock.Milli) {
+	n.records.recordRead(n.clock.Now() - age)
+	n.watch.peersRead()
+}
+
 // buildCallPath creates the components that process calls: the upstream, the guard and the
 // entry, with the state they depend on.
 func (n *Node) buildCallPath(previous peers.Record) {
@@ -132,7 +141,7 @@
 	n.pool = link.NewPool(n.identity(), n.clock, link.WithTiming(linkTiming))
 	n.registry = order.NewRegistry(p.DecodeDirective, n.clock, n.log)
 	n.moves = &moveTracker{
-		self: n.self.ID, clock: n.clock, log: n.log, table: n.table,
+		self: n.self.ID, clock: n.clock, log: n.log, table: n.table, records: n.records,
 		byService: make(map[string]*moveState),
 		onOrder:   func(ord order.Move) { n.reporter.beginTrial(ord) },
 	}
@@ -188,7 +197,7 @@
 		feed.WithReadWait(func() clock.Milli { return n.watch.readWait() }), feed.WithReadHook(func(age clock.Milli) { n.watch.recordRead(age) }))
 	n.watch = newStoreWatch(n)
 	n.sync = &stateSync{
-		clock: n.clock, log: n.log, pool: n.pool, table: n.table, registry: n.registry, moves: n.moves, crashes: n.crashes,
+		clock: n.clock, log: n.log, pool: n.pool, table: n.table, records: n.records, registry: n.registry, moves: n.moves, crashes: n.crashes,
 		view: n.watch.view, ownRecord: n.announcer.ownRecord, pollOrders: n.orderFollower.Poll, storeFailing: n.orderFollower.Failing,
 	}
 	n.sync.puller.pull = n.sync.syncWith
@@ -201,6 +210,7 @@
 	n.announcer.onChange = func() { go (&recordPush{sync: n.sync}).run() }
 	n.registry.Subscribe(func(*order.ActiveSet) { n.watch.ordersChanged() })
 	n.registry.Subscribe(n.checkUpstream)
+	n.moves.requestRecords = n.peerFollower.Refresh
 	n.moves.notifyPeers = func() { n.sync.syncWithAll(context.Background()) }
 	n.reporter = newStatsReporter(n)
 	n.statusWriter = &statusWriter{moves: n.moves, platform: p, store: n.store, mayRestore: n.watch.mayRestore}
--- a/internal/node/mesh/statesync.go
+++ b/internal/node/mesh/statesync.go
@@ -46,6 +46,7 @@
 	log       zerolog.Logger
 	pool      *link.Pool
 	table     *peers.Table
+	records   *recordsView
 	registry  *order.Registry
 	moves     *moveTracker
 	crashes   *crashLog
@@ -174,6 +175,9 @@
 	for _, p := range r.GetPeers() {
 		s.mergePeer(peers.Decode(p))
 	}
+	if r.GetPeersComplete() && !r.GetPeersDiffer() {
+		s.records.setComplete()
+	}
 }
 
 // mergePeer merges a record of a daemon. That of an earlier daemon at the own address says
@@ -199,7 +203,7 @@
 	now := s.clock.Now()
 	s.pullIfBehind(now, req.GetMember(), orderState{end: feed.Position(req.GetOrdersEnd()), hash: req.GetOrdersHash()})
 	s.moves.merge(now, req.GetMoves(), req.GetMovesComplete())
-	reply := &wire.ShareReply{OrdersEnd: int64(s.registry.End()), Moves: s.moves.encode(now), MovesComplete: s.moves.complete.Load(), Store: s.view.encode()}
+	reply := &wire.ShareReply{OrdersEnd: int64(s.registry.End()), Moves: s.moves.encode(now), MovesComplete: s.moves.complete.Load(), Store: s.view.encode(), PeersComplete: s.records.isComplete()}
 	s.addPeers(reply, req)
 	if req.GetCrashesHash() != s.crashes.hash() {
 		reply.Crashes = s.crashes.encode()
--- a/internal/node/mesh/statesync_test.go
+++ b/internal/node/mesh/statesync_test.go
@@ -32,7 +32,7 @@
 	clk := clock.NewReal()
 	decode := func(string, []byte) (order.Directive, error) { return order.Directive{}, nil }
 	s := &stateSync{
-		clock: clk, log: zerolog.Nop(), table: peers.New(id), registry: order.NewRegistry(decode, clk, zerolog.Nop()),
+		clock: clk, log: zerolog.Nop(), table: peers.New(id), records: &recordsView{}, registry: order.NewRegistry(decode, clk, zerolog.Nop()),
 		moves: newTestReporter(loopbackNet{}, id, []string{id}).moves, crashes: &crashLog{table: crash.New(), clock: clk},
 		view:      newStoreView(id, clk),
 		ownRecord: func() peers.Record { return peers.Record{ID: id, Incarnation: 1, Seq: 1} },
