base/linger: wait for callers before their connections are closed

Cause: the server closed the socket while the caller still sent. The kernel answers a request that arrives then with a reset, which drops the responses that the caller has not read. net/http waits only after a body that it left unread, and only on connections with CloseWrite, which the wrappers of the listener hid.

Evidence: the daemon logged the calls as answered with their full length, and the callers' errors were resets; without the SIGTERM nothing was cut.

Change: connections end their writing side first and are closed when the caller has closed, at most 5 s after the last write. A planned stop waits for them until its time is over. As the listener does so, this holds for each place that closes a caller's connection.

Why it works: a reset needs a closed socket. With its writing side ended only, the socket takes what the caller sends, and the caller reads to the end.

--- a/internal/base/httpd/httpd.go
+++ b/internal/base/httpd/httpd.go
@@ -12,6 +12,7 @@
 	"golang.org/x/net/netutil"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/base/linger"
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/pipe"
 )
 
@@ -41,13 +42,17 @@
 	// Gate, if set, sees each connection.
 	Gate    Gate
 	closing atomic.Bool
+	// lingering has the connections that wait for their callers to close, once Serve was called.
+	lingering atomic.Pointer[linger.Listener]
 }
 
 // Serve implements suture.Service.
 func (s *Server) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.HTTP.Close() })
 	defer stop()
-	listener := netutil.LimitListener(s.Listener, s.MaxConnections)
+	lingering := linger.NewListener(s.Listener)
+	s.lingering.Store(lingering)
+	listener := netutil.LimitListener(lingering, s.MaxConnections)
 	err := s.HTTP.Serve(s.wrap(listener))
 	if s.closing.Load() || errors.Is(err, http.ErrServerClosed) {
 		// A graceful stop closed the server; the supervisor must not restart it.
@@ -77,7 +82,8 @@
 	return l
 }
 
-// Stop closes the listener, completes all requests and shuts the server down.
+// Stop closes the listener, completes all requests, shuts the server down and waits until the
+// callers have read the responses, at most until the end of ctx.
 // http.Server.Shutdown drops a request that the server is just reading, so Stop
 // waits before Shutdown for the requests on newly accepted connections.
 func (s *Server) Stop(ctx context.Context) error {
@@ -87,7 +93,11 @@
 	if s.Pipeline != nil {
 		s.awaitPipeline(ctx)
 	}
-	return s.HTTP.Shutdown(ctx)
+	err := s.HTTP.Shutdown(ctx)
+	if lingering := s.lingering.Load(); lingering != nil {
+		lingering.Wait(ctx)
+	}
+	return err
 }
 
 // awaitPipeline waits until all requests that were started early have been answered.
