fleet/health: use no upstream on the word of one late heartbeat

Cause: only the memory of the daemons had the end. The new daemon took a heartbeat of before the deregistration for proof that the instance runs and stays, and ignored its failing health check.

Evidence: upstream_changed with leaving=false follows the late heartbeat, 2.6 s before the store answers; the store's record, which says ready, takes no effect by itself.

Change: an instance of a service with health checks gets calls once a check has succeeded, or once heartbeats have arrived over 4 s. A failing check of an instance that is confirmed counts as little as before.

Why it works: an upstream that leaves fails its health check and, once it has deregistered, sends no more heartbeats. One that works although its check fails goes on sending them.

--- a/internal/fleet/health/tracker.go
+++ b/internal/fleet/health/tracker.go
@@ -52,6 +52,9 @@
 	// Down is set after a failed connection, a response from another instance or
 	// a restore, until a heartbeat or a successful health check.
 	Down bool
+	// Confirmed is set once the instance has shown that it runs and is not leaving: by a
+	// successful health check, or by heartbeats that go on.
+	Confirmed bool
 	// ColdUntil is the time at which the upstream is warm, zero if it is.
 	ColdUntil clock.Milli
 }
@@ -66,6 +69,11 @@
 	return u.Known() && !u.Leaving && !u.Down
 }
 
+// confirmingTime is the time between two heartbeats that confirm an instance whose health check
+// does not. A single one may be late, and older than the end of the instance, which an earlier
+// daemon may have acknowledged.
+const confirmingTime = 4 * clock.Second
+
 // maxStartedAt is later than every start time.
 const maxStartedAt = clock.Milli(math.MaxFloat64)
 
@@ -77,6 +85,8 @@
 type Tracker struct {
 	current UpstreamState
 	lastSeq uint64
+	// firstBeatAt is when the first heartbeat of the current instance arrived, zero before that.
+	firstBeatAt clock.Milli
 	// retired has the latest start time of each instance that was replaced, or that
 	// deregistered while it was not the current one.
 	retired map[string]clock.Milli
@@ -128,6 +138,7 @@
 		t.replaceInstance(h)
 	}
 	t.lastSeq = h.Seq
+	t.confirmByHeartbeat(now)
 	t.current.Version, t.current.Slots = h.Version, h.Slots
 	t.current.Down = false
 	t.current.Leaving = t.current.Leaving || h.Draining
@@ -135,6 +146,16 @@
 	return true
 }
 
+// confirmByHeartbeat records the arrival of a heartbeat of the current instance.
+func (t *Tracker) confirmByHeartbeat(now clock.Milli) {
+	if t.firstBeatAt == 0 {
+		t.firstBeatAt = now
+	}
+	if now-t.firstBeatAt >= confirmingTime {
+		t.current.Confirmed = true
+	}
+}
+
 func (t *Tracker) isStale(h Heartbeat) bool {
 	if startedAt, ok := t.retired[h.Instance]; ok && h.StartedAt <= startedAt {
 		return true
@@ -154,7 +175,7 @@
 		t.retire(t.current.Instance, t.current.StartedAt)
 	}
 	t.current = UpstreamState{Instance: h.Instance, StartedAt: h.StartedAt}
-	t.lastSeq = 0
+	t.lastSeq, t.firstBeatAt = 0, 0
 }
 
 // retire records that an instance has ended. If its start time is unknown, all later
@@ -185,7 +206,7 @@
 }
 
 // HandleCheckResult applies the response to a health check. An unhealthy response
-// alone does not make the upstream unusable: the check may be wrong, and calls and
+// alone does not make a confirmed upstream unusable: the check may be wrong, and calls and
 // heartbeats are more reliable.
 func (t *Tracker) HandleCheckResult(now clock.Milli, result CheckResult) {
 	if !t.current.Known() {
@@ -197,7 +218,7 @@
 		return
 	}
 	if result.Healthy && result.Instance == t.current.Instance {
-		t.current.Down = false
+		t.current.Down, t.current.Confirmed = false, true
 	}
 	if result.ColdRemaining > 0 {
 		t.setColdRemaining(now, result.ColdRemaining)
--- a/internal/fleet/health/tracker_test.go
+++ b/internal/fleet/health/tracker_test.go
@@ -146,3 +146,41 @@
 	tr.HandleCheckResult(now+2000, health.CheckResult{Instance: "a", Healthy: true, ColdRemaining: clock.Second})
 	g.Expect(tr.UpstreamState().ColdUntil).To(Equal(now + 3*clock.Second))
 }
+
+// Guards against calls to an instance of which only a late heartbeat is known: it may have left
+// before. One that works must become usable although its health check fails.
+func TestConfirmed(t *testing.T) {
+	const now, later = 10_000, 14_000
+	check := func(instance string, healthy bool) health.CheckResult {
+		return health.CheckResult{Instance: instance, Healthy: healthy}
+	}
+	tests := map[string]struct {
+		do   func(tr *health.Tracker)
+		want bool
+	}{
+		"one heartbeat": {func(*health.Tracker) {}, false},
+		"unhealthy":     {func(tr *health.Tracker) { tr.HandleCheckResult(now, check("a", false)) }, false},
+		"healthy":       {func(tr *health.Tracker) { tr.HandleCheckResult(now, check("a", true)) }, true},
+		"healthy, then unhealthy": {func(tr *health.Tracker) {
+			tr.HandleCheckResult(now, check("a", true))
+			tr.HandleCheckResult(later, check("a", false))
+		}, true},
+		"another one is healthy": {func(tr *health.Tracker) { tr.HandleCheckResult(now, check("b", true)) }, false},
+		"no id in the response":  {func(tr *health.Tracker) { tr.HandleCheckResult(now, check("", true)) }, false},
+		"heartbeats go on":       {func(tr *health.Tracker) { tr.HandleHeartbeat(later, heartbeat("a", 3)) }, true},
+		"heartbeats close by":    {func(tr *health.Tracker) { tr.HandleHeartbeat(later-1, heartbeat("a", 3)) }, false},
+		"an older heartbeat":     {func(tr *health.Tracker) { tr.HandleHeartbeat(later, heartbeat("a", 1)) }, false},
+		"replaced after a success": {func(tr *health.Tracker) {
+			tr.HandleCheckResult(now, check("a", true))
+			tr.HandleHeartbeat(later, heartbeat("b", 1))
+		}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tr := health.New()
+			tr.HandleHeartbeat(now, heartbeat("a", 2))
+			tt.do(tr)
+			NewWithT(t).Expect(tr.UpstreamState().Confirmed).To(Equal(tt.want))
+		})
+	}
+}
--- a/internal/node/mesh/upstream.go
+++ b/internal/node/mesh/upstream.go
@@ -120,8 +120,9 @@
 		return false
 	}
 	u.log.Info().Str("upstream", s.Instance).Str("version", s.Version).Int("slots", s.Slots).
-		Bool("leaving", s.Leaving).Bool("down", s.Down).Msg("upstream_changed")
+		Bool("leaving", s.Leaving).Bool("down", s.Down).Bool("confirmed", s.Confirmed).Msg("upstream_changed")
 	s.Down, old.Down = false, false
+	s.Confirmed, old.Confirmed = false, false
 	return s != old
 }
 
@@ -149,13 +150,20 @@
 	switch {
 	case s.Leaving:
 		return call.ReasonLeaving
-	case !s.Usable() || u.awaitsNotice():
+	case !u.isUsable(&s) || u.awaitsNotice():
 		return call.ReasonNotReady
 	default:
 		return call.ReasonNone
 	}
 }
 
+// isUsable reports whether the upstream may get calls in a state. Where it has health checks, one
+// that was only heard of by a late heartbeat gets none: an earlier daemon may have acknowledged
+// that it leaves, and neither the store nor a peer may have that.
+func (u *upstream) isUsable(s *health.UpstreamState) bool {
+	return s.Usable() && (s.Confirmed || u.service().HealthPath == "")
+}
+
 // awaitsNotice reports whether it is too early to say that the instance is not leaving and has
 // no rate limit: it has not responded since it became known, or no peer has said what it has of
 // an earlier daemon.
@@ -246,7 +254,7 @@
 	defer u.mu.Unlock()
 	state := u.dispatcher.UpstreamState(now)
 	s := u.tracker.UpstreamState()
-	state.Leaving = state.Leaving || !s.Usable()
+	state.Leaving = state.Leaving || !u.isUsable(&s)
 	return state
 }
 
