mesh: count the success of a replaced move only if the store had it

Cause: a daemon ended the move 57 ms after the next order had reached others. Its outcome reached all of them with the history of moves, where a success replaces a move without an end.

Change: when an order replaces a move, its success counts only if the store has had it, here and in what a peer reports of its latest move.

Why it works: operators, and the platform that ends upstreams, see only the status in the store. A stored success still reaches all daemons with the history, or with the status that the writer of the next order merges.

A restarted daemon gets a heartbeat, as targets send them all the time. The checks and bounds are the same.

--- a/internal/moves/canary/history.go
+++ b/internal/moves/canary/history.go
@@ -32,6 +32,15 @@
 	return o.Position == ord.Position || isCopy || o.Position == feed.PositionNone
 }
 
+// Replaced returns the outcome of a move that a later order replaces. A success that the store
+// never had counts as none: the operator did not see it, so the other upstreams still run.
+func (o Outcome) Replaced(stored bool) Outcome {
+	if o.Phase == Succeeded && !stored {
+		o.Phase = Running
+	}
+	return o
+}
+
 // String returns the version and the phase.
 func (o Outcome) String() string {
 	return o.Version + " " + o.Phase.String()
--- a/internal/node/mesh/moves.go
+++ b/internal/node/mesh/moves.go
@@ -32,6 +32,8 @@
 	// it has the final one.
 	orderStored  bool
 	statusStored bool
+	// wasStored is set once the store has had the final status, also before a restore.
+	wasStored bool
 	// otherVersionSeen is set once this daemon has had a record of another version that may
 	// get calls.
 	otherVersionSeen bool
@@ -95,7 +97,7 @@
 		}
 		var earlier canary.History
 		if old != nil {
-			earlier = old.move.Earlier().With(old.move.Outcome())
+			earlier = old.move.Earlier().With(old.move.Outcome().Replaced(old.wasStored))
 		}
 		s := &moveState{move: canary.New(ord, canary.WithEarlier(earlier)), changedAt: m.clock.Now()}
 		m.byService[service] = s
--- a/internal/node/mesh/moveservice_test.go
+++ b/internal/node/mesh/moveservice_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/gomega"
 
 	"gitlab.com/cranberrytack/cranberrytack/internal/base/clock"
+	"gitlab.com/cranberrytack/cranberrytack/internal/conf/order"
 	"gitlab.com/cranberrytack/cranberrytack/internal/core/admit"
 	"gitlab.com/cranberrytack/cranberrytack/internal/fleet/peers"
 	"gitlab.com/cranberrytack/cranberrytack/internal/moves/canary"
@@ -86,3 +87,31 @@
 	m.evaluate(m.clock.Now())
 	g.Expect(m.byService[moveService].move.Phase()).To(Equal(canary.RolledBack))
 }
+
+// Guards against a success that only some daemons saw before a later order replaced the move: it
+// excluded the versions before it, whose upstreams still run. The success that the store has
+// counts.
+func TestReplacedSuccessCountsOnlyIfStored(t *testing.T) {
+	tests := map[string]struct{ stored bool }{"stored": {true}, "not stored": {false}}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			from, to := newTestReporter(loopbackNet{}, "a", nil).moves, newTestReporter(loopbackNet{}, "b", nil).moves
+			next := order.Move{Service: moveService, Version: "v3", MaxDuration: 10 * clock.Second, Position: 2}
+			newest := &order.ActiveSet{Moves: map[string]order.Move{moveService: next}}
+			to.applyOrders(newest)
+			s := from.byService[moveService]
+			s.move.SetFinalPhase(canary.Succeeded, "")
+			if tt.stored {
+				from.markStored(moveService, s.move.Outcome())
+			}
+			to.merge(1, from.encode(1), false)
+			from.applyOrders(newest)
+			for _, m := range []*moveTracker{from, to} {
+				earlier := m.byService[moveService].move.Earlier()
+				g.Expect(earlier.Allows("v1")).To(Equal(!tt.stored))
+				g.Expect(earlier.Allows("v2")).To(Equal(tt.stored))
+			}
+		})
+	}
+}
--- a/internal/node/mesh/movesync.go
+++ b/internal/node/mesh/movesync.go
@@ -44,16 +44,20 @@
 	return out
 }
 
-// decodeOutcomes returns the outcomes of the earlier moves and of the latest one that a peer
-// reports.
-func decodeOutcomes(w *wire.MoveState) []canary.Outcome {
-	out := make([]canary.Outcome, 0, len(w.GetEarlier())+1)
+// decodeEarlier returns the outcomes of the moves before the latest one that a peer reports.
+func decodeEarlier(w *wire.MoveState) []canary.Outcome {
+	out := make([]canary.Outcome, 0, len(w.GetEarlier()))
 	for _, o := range w.GetEarlier() {
 		out = append(out, canary.Outcome{Position: feed.Position(o.GetOffset()), Version: o.GetVersion(), Phase: canary.Phase(o.GetPhase())})
 	}
-	return append(out, canary.Outcome{
-		Position: feed.Position(w.GetOffset()), Version: w.GetVersion(), Phase: canary.Phase(w.GetPhase() &^ statusStoredBit),
-	})
+	return out
+}
+
+// decodeLatest returns the outcome of the latest move that a peer reports, and whether the store
+// has it.
+func decodeLatest(w *wire.MoveState) (o canary.Outcome, stored bool) {
+	o = canary.Outcome{Position: feed.Position(w.GetOffset()), Version: w.GetVersion(), Phase: canary.Phase(w.GetPhase() &^ statusStoredBit)}
+	return o, w.GetPhase()&statusStoredBit != 0
 }
 
 // merge adopts the progress that a peer reports of moves with the same order, and the outcomes
@@ -70,33 +74,43 @@
 		if s == nil {
 			continue
 		}
-		for _, o := range decodeOutcomes(w) {
+		for _, o := range decodeEarlier(w) {
 			m.mergeOutcome(now, s, o, reasonPeer)
 		}
-		if int64(s.move.Order().Position) == w.GetOffset() {
-			m.mergeProgress(now, s, w)
-		}
+		m.mergeLatest(now, s, w)
 	}
 	if complete && m.loadedAt > 0 {
 		m.complete.Store(true)
 	}
 }
 
+// mergeLatest adopts the latest move of a peer, whose order may be replaced here. The caller holds
+// the lock.
+func (m *moveTracker) mergeLatest(now clock.Milli, s *moveState, w *wire.MoveState) {
+	latest, stored := decodeLatest(w)
+	if latest.Position != s.move.Order().Position {
+		m.mergeOutcome(now, s, latest.Replaced(stored), reasonPeer)
+		return
+	}
+	m.mergeOutcome(now, s, latest, reasonPeer)
+	m.mergeProgress(now, s, w)
+	if stored {
+		m.setStoredPhase(now, s, latest.Phase, reasonPeer)
+	}
+}
+
 // mergeProgress adopts how far a peer has processed the move with the same order. The caller
 // holds the lock.
 func (m *moveTracker) mergeProgress(now clock.Milli, s *moveState, w *wire.MoveState) {
 	s.move.MergeStart(now - clock.Milli(w.GetAgeMs()))
 	s.move.MergeStep(int(w.GetStep()), now-clock.Milli(w.GetStepAgeMs()))
 	s.orderStored = s.orderStored || w.GetOrderStored()
-	if w.GetPhase()&statusStoredBit != 0 {
-		m.setStoredPhase(now, s, canary.Phase(w.GetPhase()&^statusStoredBit), reasonPeer)
-	}
 }
 
 // setStoredPhase records the final phase that the store has. It counts whatever this daemon
 // had. The caller holds the lock.
 func (m *moveTracker) setStoredPhase(now clock.Milli, s *moveState, p canary.Phase, reason string) {
-	s.statusStored = true
+	s.statusStored, s.wasStored = true, true
 	if s.move.SetStoredPhase(p, reason) {
 		m.recordProgress(s, now)
 	}
--- a/internal/node/mesh/statuswriter.go
+++ b/internal/node/mesh/statuswriter.go
@@ -152,7 +152,9 @@
 		return
 	}
 	s.orderStored = true
-	s.statusStored = s.statusStored || o.Phase != canary.Running
+	if o.Phase != canary.Running {
+		s.statusStored, s.wasStored = true, true
+	}
 }
 
 // findStatus returns the stored status of a service, false if there is no readable one.
