linger, feed: narrow what connections expose, name things plainly

Cause: read as a newcomer, the connection embedded *net.TCPConn, so ReadFrom would have bypassed the time of the last write; its limit was exported without a user; some comments had words of our own.

Change: the connection embeds net.Conn and keeps the TCP connection in a field; the limit is not exported; comments say continue, known, repeat.

--- a/internal/base/linger/conn.go
+++ b/internal/base/linger/conn.go
@@ -21,7 +21,8 @@
 
 // Conn is a TCP connection whose Close waits for the peer in the background.
 type Conn struct {
-	*net.TCPConn
+	net.Conn
+	tcp      *net.TCPConn
 	listener *Listener
 	// reading is held by the read in progress.
 	reading sync.Mutex
@@ -38,12 +39,12 @@
 	if c.isClosed() {
 		return 0, net.ErrClosed
 	}
-	return c.TCPConn.Read(p)
+	return c.tcp.Read(p)
 }
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	n, err := c.TCPConn.Write(p)
+	n, err := c.tcp.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastWriteAt = time.Now()
@@ -52,17 +53,17 @@
 
 // SetDeadline implements net.Conn.
 func (c *Conn) SetDeadline(t time.Time) error {
-	return c.ifOpen(func() error { return c.TCPConn.SetDeadline(t) })
+	return c.ifOpen(func() error { return c.tcp.SetDeadline(t) })
 }
 
 // SetReadDeadline implements net.Conn.
 func (c *Conn) SetReadDeadline(t time.Time) error {
-	return c.ifOpen(func() error { return c.TCPConn.SetReadDeadline(t) })
+	return c.ifOpen(func() error { return c.tcp.SetReadDeadline(t) })
 }
 
 // SetWriteDeadline implements net.Conn.
 func (c *Conn) SetWriteDeadline(t time.Time) error {
-	return c.ifOpen(func() error { return c.TCPConn.SetWriteDeadline(t) })
+	return c.ifOpen(func() error { return c.tcp.SetWriteDeadline(t) })
 }
 
 // ifOpen calls set unless the connection is closed. After Close, the deadlines belong to the
@@ -83,7 +84,7 @@
 }
 
 // Close ends the writing side and returns. The connection is closed once the peer has closed its
-// side, at the latest Timeout after the last write.
+// side, at the latest peerTimeout after the last write.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -91,13 +92,13 @@
 		return net.ErrClosed
 	}
 	c.closed = true
-	until := c.lastWriteAt.Add(Timeout.Duration())
+	until := c.lastWriteAt.Add(peerTimeout.Duration())
 	if !time.Now().Before(until) || !c.listener.acquire() {
-		return c.TCPConn.Close()
+		return c.tcp.Close()
 	}
 	if err := c.endStreams(); err != nil {
 		c.listener.release()
-		return c.TCPConn.Close()
+		return c.tcp.Close()
 	}
 	go (&closer{conn: c, until: until}).run()
 	return nil
@@ -105,10 +106,10 @@
 
 // endStreams ends reads and writes in progress and the writing side.
 func (c *Conn) endStreams() error {
-	if err := c.TCPConn.SetDeadline(expired); err != nil {
+	if err := c.tcp.SetDeadline(expired); err != nil {
 		return err
 	}
-	return c.CloseWrite()
+	return c.tcp.CloseWrite()
 }
 
 // closer waits for the peer of a connection whose writing side has ended, and closes it.
@@ -117,26 +118,26 @@
 	until time.Time
 }
 
-func (l *closer) run() {
-	defer l.conn.listener.release()
-	defer func() { _ = l.conn.TCPConn.Close() }()
+func (c *closer) run() {
+	defer c.conn.listener.release()
+	defer func() { _ = c.conn.tcp.Close() }()
 	// A read in progress has to end before the deadline is set again.
-	l.conn.reading.Lock()
-	defer l.conn.reading.Unlock()
-	if !l.awaitPeer() {
-		l.discard()
+	c.conn.reading.Lock()
+	defer c.conn.reading.Unlock()
+	if !c.awaitPeer() {
+		c.discard()
 	}
 }
 
 // awaitPeer waits until the peer has closed, without reading what it sends, and reports whether it
 // has within quietTime.
-func (l *closer) awaitPeer() bool {
+func (c *closer) awaitPeer() bool {
 	deadline := time.Now().Add(quietTime.Duration())
-	if l.until.Before(deadline) {
-		deadline = l.until
+	if c.until.Before(deadline) {
+		deadline = c.until
 	}
-	_ = l.conn.TCPConn.SetReadDeadline(deadline)
-	raw, err := l.conn.SyscallConn()
+	_ = c.conn.tcp.SetReadDeadline(deadline)
+	raw, err := c.conn.tcp.SyscallConn()
 	if err != nil {
 		return true
 	}
@@ -145,11 +146,11 @@
 
 // discard reads until the peer closes. A peer that writes all of its request before it reads the
 // response would otherwise wait for room.
-func (l *closer) discard() {
-	_ = l.conn.TCPConn.SetReadDeadline(l.until)
+func (c *closer) discard() {
+	_ = c.conn.tcp.SetReadDeadline(c.until)
 	buf := make([]byte, discardBufferBytes)
 	for {
-		if _, err := l.conn.TCPConn.Read(buf); err != nil {
+		if _, err := c.conn.tcp.Read(buf); err != nil {
 			return
 		}
 	}
--- a/internal/base/linger/linger.go
+++ b/internal/base/linger/linger.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// Timeout is how long after the last write a peer may take to read what was written.
-	Timeout = 5 * clock.Second
+	// peerTimeout is how long after the last write a peer may take to read what was written.
+	peerTimeout = 5 * clock.Second
 	// maxLingering limits the connections that wait for their peers, as each takes a
 	// descriptor. At the limit, further ones are closed at once.
 	maxLingering = 512
@@ -51,7 +51,7 @@
 	if !ok {
 		return nc, nil
 	}
-	return &Conn{TCPConn: tcp, listener: l}, nil
+	return &Conn{Conn: nc, tcp: tcp, listener: l}, nil
 }
 
 // Wait waits until no connection waits for its peer, or until ctx ends. The end of the process
--- a/internal/conf/feed/follow.go
+++ b/internal/conf/feed/follow.go
@@ -134,8 +134,8 @@
 	f.wakeUp()
 }
 
-// Refresh makes the follower read without waiting for records: once if it is idle, and again if
-// it follows the topic.
+// Refresh makes the follower read without waiting for records. An idle follower reads once; a
+// read that waits is repeated.
 func (f *Follower) Refresh() {
 	if f.idle.Load() {
 		f.Poll()
--- a/internal/fleet/health/tracker.go
+++ b/internal/fleet/health/tracker.go
@@ -53,7 +53,7 @@
 	// a restore, until a heartbeat or a successful health check.
 	Down bool
 	// Confirmed is set once the instance has shown that it runs and is not leaving: by a
-	// successful health check, or by heartbeats that go on.
+	// successful health check, or by heartbeats that continue to arrive.
 	Confirmed bool
 	// ColdUntil is the time at which the upstream is warm, zero if it is.
 	ColdUntil clock.Milli
--- a/internal/node/mesh/moveservice.go
+++ b/internal/node/mesh/moveservice.go
@@ -16,7 +16,7 @@
 )
 
 // updateOnlyVersion updates whether the ordered version of a running move is the only one that
-// may get calls. This daemon may lack the latest records, so the move goes on; but its requests
+// may get calls. This daemon may lack the latest records, so the move continues; but its requests
 // are not refused for the lack of other versions. The caller holds the lock.
 func (m *moveTracker) updateOnlyVersion(now clock.Milli, s *moveState) {
 	if s.move.Phase() != canary.Running || s.otherVersionSeen {
--- a/internal/node/mesh/upstream.go
+++ b/internal/node/mesh/upstream.go
@@ -158,7 +158,7 @@
 }
 
 // isUsable reports whether the upstream may get calls in a state. Where it has health checks, one
-// that was only heard of by a late heartbeat gets none: an earlier daemon may have acknowledged
+// that is known only from a late heartbeat gets none: an earlier daemon may have acknowledged
 // that it leaves, and neither the store nor a peer may have that.
 func (u *upstream) isUsable(s *health.UpstreamState) bool {
 	return s.Usable() && (s.Confirmed || u.service().HealthPath == "")
